Refuse requests whose end can be read in two ways

Peers sent POST /api with both Content-Length and Transfer-Encoding: chunked. net/http drops the length and reads the coding, so a request that stood inside the body was read as one of its own and sent on. Requests with a transfer coding, without a length or of HTTP/1.0 are refused, and after any unsound request the connection is closed.

--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -82,10 +82,33 @@
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if status, err := framing(r); err != nil {
+			reject(w, err, status)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// framing refuses a request whose end can be read in two ways. Clients state every length; where a transfer
+// coding stands beside it net/http drops the length unseen, and what one reading takes for body the other
+// takes for the next request. HTTP/1.0 has the same doubt, as the coding is what is dropped there.
+func framing(r *http.Request) (int, error) {
+	if !r.ProtoAtLeast(1, 1) {
+		return http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 is spoken here")
+	}
+	if len(r.TransferEncoding) > 0 {
+		return http.StatusLengthRequired, errors.New("a body needs a Content-Length and no Transfer-Encoding")
+	}
+	return 0, nil
+}
+
+// reject answers a request that is not sound, and reads nothing more from its peer: where it ends is not sure.
+func reject(w http.ResponseWriter, err error, status int) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
 // take hands one message to the loop and writes the answer. Nothing of a request that is not sound goes
 // further than here.
 func (s *server) take(w http.ResponseWriter, r *http.Request) {
@@ -93,7 +116,7 @@
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTime))
 	sub, status, err := s.parse(w, r, arrived)
 	if err != nil {
-		http.Error(w, err.Error(), status)
+		reject(w, err, status)
 		return
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
@@ -146,6 +169,9 @@
 		}
 		*field = v
 	}
+	if r.Header.Get("Content-Length") == "" {
+		return nil, http.StatusLengthRequired, errors.New("Content-Length is missing")
+	}
 	if sub.ID == "" {
 		return bad("X-Request-Id is missing")
 	}
