Leave silent and half-spoken peers in time, and let held connections make room

Peers that opened connections and said nothing, or asked once whether the sender is ready and stayed, held every place of the limited listener for 9 to 12 s: later peers got neither answer nor close, and clients' requests were not accepted in their 400 ms. A head must come within 2 s, a whole request within 2.5 s, a connection without a request ends after 2.2 s, and when the last place is taken the connection that has been quiet for longest makes room.

--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -163,6 +165,83 @@
 	}
 }
 
+// A peer that says nothing, or stops half-way, is answered or left within 3 s, and nothing of it is taken on.
+func TestPeersThatStopHalfWayAreLeft(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	addr := run(t, st.NewPlatform(t, e.Addr), nil)
+	head := "POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: m\r\nX-Class: safe\r\nX-Tenant: acme\r\n" +
+		"X-Deadline-Ms: 9000\r\nX-Addressing: dest=0\r\nContent-Length: 100\r\n"
+	left := map[string]chan time.Duration{}
+	for name, text := range map[string]string{
+		"nothing":          "",
+		"half a head":      head,
+		"half a body":      head + "\r\nbegun",
+		"no request after": "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		done := make(chan time.Duration, 1)
+		left[name] = done
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			defer nc.Close()
+			began := time.Now()
+			io.WriteString(nc, text)
+			io.Copy(io.Discard, nc)
+			done <- time.Since(began)
+		}()
+	}
+	for name, done := range left {
+		if took := st.Receive(t, done); took > 4500*time.Millisecond { // with room for a slow machine
+			t.Errorf("%s: left after %v", name, took)
+		}
+	}
+	if len(e.Calls) != 0 {
+		t.Error("half a message was taken on")
+	}
+}
+
+// Peers that only hold their connections make room for those that come: first who has been quiet for longest,
+// and nobody whose request is being answered.
+func TestHeldConnectionsMakeRoom(t *testing.T) {
+	t.Parallel()
+	s := newServer(&Config{Limits: Limits{Sockets: 6}}, newClock(), slog.New(slog.DiscardHandler), nil)
+	conns := map[string]net.Conn{}
+	open := func(name string) {
+		a, b := net.Pipe()
+		t.Cleanup(func() { a.Close(); b.Close() })
+		conns[name] = a
+		s.track(a, http.StateNew)
+	}
+	closed := func(name string) bool {
+		conns[name].SetDeadline(time.Now().Add(-time.Second))
+		_, err := conns[name].Write([]byte{0})
+		return !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	open("busy")
+	s.track(conns["busy"], http.StateActive)
+	open("held")
+	if closed("held") {
+		t.Error("closed with room left")
+	}
+	open("new")
+	for name, want := range map[string]bool{"busy": false, "held": true, "new": false} {
+		if closed(name) != want {
+			t.Errorf("%s: closed %v", name, !want)
+		}
+	}
+	s.track(conns["held"], http.StateClosed)
+	s.track(conns["busy"], http.StateIdle) // quiet for less long than the new one
+	open("newer")
+	for name, want := range map[string]bool{"busy": false, "new": true, "newer": false} {
+		if closed(name) != want {
+			t.Errorf("%s: closed %v", name, !want)
+		}
+	}
+}
+
 // What cannot be held is refused before it is sent, and its client is told when to come back.
 func TestNoRoomIsARefusal(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,11 +22,15 @@
 const (
 	maxBody      = 64 << 10
 	maxHeader    = 16 << 10
-	readTime     = 5 * time.Second // a request that has begun comes within this
-	headerTime   = 30 * time.Second
-	idleTime     = 2 * time.Minute // a client that was cut off would hold its connection for good
 	maxDeadline  = 24 * time.Hour
 	refusedRetry = time.Second // Retry-After where the settings tell none
+
+	// Anyone may connect, and a peer that says nothing or stops half-way is owed an error or a close within
+	// 3 s of its connection. Whoever has no request open may be left after 2 s.
+	headerTime = 2 * time.Second
+	readTime   = 2500 * time.Millisecond // a whole request
+	idleTime   = 2200 * time.Millisecond
+	writeTime  = 5 * time.Second // an answer, to a peer that may not read
 )
 
 // submission is a message that a client hands in, on its way to the loop.
@@ -50,10 +55,15 @@
 	ready   atomic.Bool
 	closing atomic.Bool // answers say that the connection ends
 	http    *http.Server
+	most    int // connections of clients at once
+
+	mu    sync.Mutex
+	open  int
+	quiet map[net.Conn]time.Time // without a request, since when
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{c: c, clock: k, submit: submit}
+	s := &server{c: c, clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[net.Conn]time.Time{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
 	mux.HandleFunc("GET /-/ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -62,21 +72,56 @@
 		}
 	})
 	mux.HandleFunc("GET /-/healthy", func(http.ResponseWriter, *http.Request) {})
-	s.http = &http.Server{Handler: s.header(mux), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	s.http = &http.Server{Handler: s.header(mux), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTime, ReadTimeout: readTime,
+		IdleTimeout: idleTime, WriteTimeout: writeTime, ConnState: s.track, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	return s
 }
 
 // serve answers on the listener until it is closed. Clients hold a part of the descriptors at most; further
-// ones wait to be accepted.
+// ones wait to be accepted, while none of those connected can be let go.
 func (s *server) serve(l net.Listener) error {
-	err := s.http.Serve(netutil.LimitListener(l, max(1, s.c.Limits.Sockets/2)))
+	err := s.http.Serve(netutil.LimitListener(l, s.most))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
+// track follows the connections. When the last place is taken, the one that has been without a request for
+// longest makes room: peers that only hold their connection must not keep those out that have something to say.
+func (s *server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.open++
+		if s.open >= s.most {
+			s.evict()
+		}
+		s.quiet[c] = time.Now()
+	case http.StateIdle:
+		s.quiet[c] = time.Now()
+	case http.StateActive:
+		delete(s.quiet, c)
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+		delete(s.quiet, c)
+	}
+}
+
+func (s *server) evict() {
+	var oldest net.Conn
+	for c, since := range s.quiet {
+		if oldest == nil || since.Before(s.quiet[oldest]) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		delete(s.quiet, oldest)
+		oldest.Close()
+	}
+}
+
 func (s *server) header(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.closing.Load() {
@@ -113,7 +158,6 @@
 // further than here.
 func (s *server) take(w http.ResponseWriter, r *http.Request) {
 	arrived := s.clock.now()
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(readTime))
 	sub, status, err := s.parse(w, r, arrived)
 	if err != nil {
 		reject(w, err, status)
