Send what shares a call to /hook/batch

The module books the sends of one step to one endpoint of a kind with per_call above 1 as one call; the sender made a call of each. They ate up the limits of big employers, which refused two of three.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -29,6 +30,7 @@
 	number brain.EndpointID
 	id     string
 	zone   int
+	most   int // messages in one call
 
 	mu   sync.Mutex
 	addr string
@@ -39,8 +41,14 @@
 	net.Conn
 	r     *bufio.Reader
 	addr  string
-	since time.Time // it has been idle
-	first []byte    // of the answer that is being read
+	since time.Time   // it has been idle
+	first []byte      // of the answer that is being read
+	stop  func() bool // lets go of the context of the call; false if that has cut it off
+}
+
+func (c *conn) drop() {
+	c.stop()
+	c.Close()
 }
 
 // served is how an answer begins from which on the message is delivered, whatever becomes of the rest.
@@ -142,74 +150,186 @@
 	})
 }
 
-// callEnd is how a call ended.
+// item is a message's part in a call.
+type item struct {
+	record
+	message *message
+	attempt int
+	timeout time.Duration
+	last    bool // its time is up with the time-out: it will not be sent again
+}
+
+// callEnd is how a call ended for some of its messages.
 type callEnd struct {
+	ends []itemEnd
+	over bool // the call itself has ended, too
+}
+
+type itemEnd struct {
 	message *message
 	attempt int
 	brain.AttemptEnd
 }
 
 // request renders one call.
-func request(m record, addr string, timeout time.Duration) ([]byte, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/hook", bytes.NewReader(m.Body))
+func request(addr, path, contentType string, m record, body []byte, timeout time.Duration) ([]byte, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("User-Agent", "saffronyard")
-	req.Header.Set("X-Request-Id", m.ID)
+	if m.ID != "" {
+		req.Header.Set("X-Request-Id", m.ID)
+	}
 	if m.Key != "" {
 		req.Header.Set("Idempotency-Key", m.Key)
 	}
+	if contentType != "" {
+		req.Header.Set("Content-Type", contentType)
+	}
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
 	var out bytes.Buffer
 	err = req.Write(&out)
 	return out.Bytes(), err
 }
 
-// call makes one attempt and says how it ended. It never makes a second one: an endpoint counts each
-// call whose last byte has come. ctx ends it early, its deadline being the time-out.
+// call makes one attempt with one message and says how it ended. It never makes a second one: an endpoint
+// counts each call whose last byte has come. ctx ends it early, its deadline being the time-out.
 func (p *pool) call(ctx context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
-	end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
+	end := brain.AttemptEnd{Endpoint: e.number}
+	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, error) {
+		return request(addr, "/hook", "", m, m.Body, timeout)
+	})
+	if resp == nil {
+		end.Outcome, end.Over = outcome, outcome == brain.Served
+		return end
+	}
+	p.read(resp, &end)
+	// The status is the outcome; what follows only decides whether the connection can be used again.
+	p.rest(e, c, resp)
+	return end
+}
+
+// part is a message in a call that several share.
+type part struct {
+	ID   string `json:"id"`
+	Key  string `json:"key,omitempty"`
+	Body []byte `json:"body"`
+}
+
+// callMany makes one attempt with several messages, which share its fate unless the answer tells each one's.
+func (p *pool) callMany(ctx context.Context, e *endpoint, items []item, timeout time.Duration) []brain.AttemptEnd {
+	ends := make([]brain.AttemptEnd, len(items))
+	all := func(end brain.AttemptEnd) []brain.AttemptEnd {
+		for i := range ends {
+			ends[i] = end
+		}
+		return ends
+	}
+	end := brain.AttemptEnd{Endpoint: e.number}
+	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, error) {
+		parts := make([]part, len(items))
+		for i, it := range items {
+			parts[i] = part{it.ID, it.Key, it.Body}
+			if it.Body == nil {
+				parts[i].Body = []byte{}
+			}
+		}
+		body, err := json.Marshal(parts)
+		if err != nil {
+			return nil, err
+		}
+		return request(addr, "/hook/batch", "application/json", record{}, body, timeout)
+	})
+	if resp == nil {
+		if outcome == brain.Served { // a first line alone tells of no message how it fared
+			outcome = brain.Broken
+		}
+		end.Outcome = outcome
+		return all(end)
+	}
+	p.read(resp, &end)
+	body, whole := p.rest(e, c, resp)
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		end.Outcome = brain.NotSent // by the protocol none of them has run
+		return all(end)
+	default:
+		return all(end)
+	}
+	var told []struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	}
+	end.Outcome, end.Over = brain.Errored, false // what the answer leaves open may have run
+	all(end)
+	if !whole || json.Unmarshal(body, &told) != nil {
+		return ends
+	}
+	states := make(map[string]string, len(told))
+	for _, t := range told {
+		states[t.ID] = t.State
+	}
+	for i, it := range items {
+		switch states[it.ID] {
+		case "ok":
+			ends[i].Outcome, ends[i].Over = brain.Served, true
+		case "later":
+			ends[i].Outcome = brain.Refused
+		case "gone":
+			ends[i].Outcome, ends[i].Over = brain.NotSent, true
+		case "exhausted":
+			ends[i].Outcome = brain.NotSent
+		}
+	}
+	return ends
+}
+
+// exchange writes one request and reads the head of its answer. Without an answer that can be read it closes
+// the connection and tells the outcome: Served if the first line says so.
+func (p *pool) exchange(ctx context.Context, e *endpoint, render func(addr string) ([]byte, error)) (*http.Response, *conn, brain.Outcome) {
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
 	c, err := p.get(ctx, e)
 	if err != nil {
-		return end
+		return nil, nil, brain.ConnectFailed
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	out, err := request(m, c.addr, timeout)
+	c.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	out, err := render(c.addr)
 	if err == nil {
 		_, err = c.Write(out)
 	}
 	if err != nil {
-		c.Close()
-		return end
+		c.drop()
+		return nil, nil, brain.ConnectFailed
 	}
 	c.first = c.first[:0]
 	resp, err := answer(c.r)
-	if err != nil {
-		c.Close()
-		switch {
-		case string(c.first) == served:
-			end.Outcome, end.Over = brain.Served, true
-		case errors.Is(ctx.Err(), context.DeadlineExceeded):
-			end.Outcome = brain.TimedOut
-		case ctx.Err() != nil:
-			end.Outcome = brain.Cancelled
-		default:
-			end.Outcome = brain.Broken
-		}
-		return end
+	if err == nil {
+		return resp, c, 0
 	}
-	p.read(resp, &end)
-	// The status is the outcome; what follows only decides whether the connection can be used again.
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody+1))
-	if err != nil || n > maxBody || resp.Close || c.r.Buffered() > 0 || !stop() {
-		c.Close()
+	c.drop()
+	switch {
+	case string(c.first) == served:
+		return nil, nil, brain.Served
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return nil, nil, brain.TimedOut
+	case ctx.Err() != nil:
+		return nil, nil, brain.Cancelled
+	}
+	return nil, nil, brain.Broken
+}
+
+// rest reads an answer's body, whole or not, and keeps the connection if it can be used again.
+func (p *pool) rest(e *endpoint, c *conn, resp *http.Response) (body []byte, whole bool) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	whole = err == nil && len(body) <= maxBody
+	if !whole || resp.Close || c.r.Buffered() > 0 || !c.stop() {
+		c.drop()
 	} else {
 		p.put(e, c)
 	}
-	return end
+	return body, whole
 }
 
 // answer reads a response, passing over interim ones.
@@ -229,9 +349,6 @@
 		end.Outcome, end.Over = brain.Served, true
 	case http.StatusTooManyRequests:
 		end.Outcome = brain.Refused
-		if ms, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
-			end.Wait = time.Duration(ms * float64(time.Millisecond))
-		}
 	case http.StatusServiceUnavailable:
 		end.Outcome = brain.Refused
 		if resp.Header.Get("X-Over-Slots") == "1" {
@@ -244,6 +361,9 @@
 	default:
 		end.Outcome = brain.Errored
 	}
+	if ms, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
+		end.Wait = time.Duration(ms * float64(time.Millisecond))
+	}
 	report := map[string]float64{}
 	for _, part := range strings.Split(resp.Header.Get("X-Load"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
@@ -276,7 +396,11 @@
 		l.byID[t.ID] = e
 		l.byNumber = append(l.byNumber, e)
 	}
-	e.zone = place(c.Zones, t.Zone, 0)
+	e.zone, e.most = place(c.Zones, t.Zone, 0), 1
+	kind := place(c.Kinds, t.Kind, 0)
+	if kind < len(c.Settings.Kinds) {
+		e.most = max(1, c.Settings.Kinds[kind].PerCall)
+	}
 	ready := t.State == "SERVING"
 	e.mu.Lock()
 	if t.Addr != "" {
@@ -286,6 +410,6 @@
 	if !ready {
 		p.closeIdle(e, 0)
 	}
-	return brain.Endpoint{ID: e.number, Destination: brain.DestinationID(t.Cell), Kind: place(c.Kinds, t.Kind, 0),
+	return brain.Endpoint{ID: e.number, Destination: brain.DestinationID(t.Cell), Kind: kind,
 		Zone: e.zone, Ready: ready, Rating: t.Weight}
 }
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -62,6 +63,67 @@
 	}
 }
 
+// Messages that share a call share its fate, unless the answer tells how each one fared.
+func TestSharedOutcomes(t *testing.T) {
+	each := func(outcomes ...brain.Outcome) (ends []brain.AttemptEnd) {
+		for _, o := range outcomes {
+			ends = append(ends, brain.AttemptEnd{Outcome: o, Over: o == brain.Served})
+		}
+		return ends
+	}
+	wait := func(ends []brain.AttemptEnd) []brain.AttemptEnd {
+		for i := range ends {
+			ends[i].Wait = 250 * time.Millisecond
+		}
+		return ends
+	}
+	cut := st.Text(200, `[{"id":"a","state":"ok"}`)
+	for name, c := range map[string]struct {
+		answer func(st.Call, net.Conn) bool
+		want   []brain.AttemptEnd
+	}{
+		"each its own": {st.Text(200, `[{"id":"b","state":"later"},{"id":"a","state":"ok"},{"id":"c","state":"error"}]`),
+			each(brain.Served, brain.Refused, brain.Errored)},
+		"with a wait": {st.Text(200, `[{"id":"a","state":"ok"},{"id":"b","state":"later"},{"id":"c","state":"later"}]`,
+			"X-RateLimit-Wait-Ms: 250"), wait(each(brain.Served, brain.Refused, brain.Refused))},
+		"spent": {st.Text(200, `[{"id":"a","state":"ok"},{"id":"b","state":"exhausted"},{"id":"c","state":"ok"}]`),
+			each(brain.Served, brain.NotSent, brain.Served)},
+		"one left out":  {st.Text(200, `[{"id":"a","state":"ok"},{"id":"c","state":"ok"}]`), each(brain.Served, brain.Errored, brain.Served)},
+		"unknown state": {st.Text(200, `[{"id":"a","state":"fine"}]`), each(brain.Errored, brain.Errored, brain.Errored)},
+		"no JSON":       {st.Text(200, `<html>`), each(brain.Errored, brain.Errored, brain.Errored)},
+		"cut JSON":      {cut, each(brain.Errored, brain.Errored, brain.Errored)},
+		"cut body": {func(_ st.Call, c net.Conn) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[{\"id\":\"a\",\"state\":\"ok\"}]")
+			return false
+		}, each(brain.Errored, brain.Errored, brain.Errored)},
+		"cut head": {func(_ st.Call, c net.Conn) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-")
+			return false
+		}, each(brain.Broken, brain.Broken, brain.Broken)},
+		"told to wait": {st.Status(429, "X-RateLimit-Wait-Ms: 250"), wait(each(brain.Refused, brain.Refused, brain.Refused))},
+		"turned away":  {st.Status(503), each(brain.Refused, brain.Refused, brain.Refused)},
+		"over slots":   {st.Status(503, "X-Over-Slots: 1"), each(brain.NotSent, brain.NotSent, brain.NotSent)},
+		"too many":     {st.Status(413), each(brain.NotSent, brain.NotSent, brain.NotSent)},
+		"all failed":   {st.Status(500), each(brain.Errored, brain.Errored, brain.Errored)},
+		"reset":        {st.Reset, each(brain.Broken, brain.Broken, brain.Broken)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := st.NewEndpoint(t, c.answer)
+			ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+			defer cancel()
+			items := []item{{record: record{ID: "a", Key: "k", Body: []byte{0, 255, '"'}}}, {record: record{ID: "b"}}, {record: record{ID: "c"}}}
+			got := testPool().callMany(ctx, &endpoint{addr: e.Addr}, items, st.Wait)
+			if !slices.Equal(got, c.want) {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+			parts := e.Next(t).Parts(t)
+			if len(parts) != 3 || parts[0].ID != "a" || parts[0].Key != "k" || string(parts[0].Body) != "\x00\xff\"" || parts[2].ID != "c" {
+				t.Errorf("the endpoint got %+v", parts)
+			}
+		})
+	}
+}
+
 // A library may repeat a request with an Idempotency-Key by itself when a reused connection breaks; each
 // would count as a call that the module knows nothing of.
 func TestOneSendIsOneCall(t *testing.T) {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -59,6 +61,7 @@
 	last     brain.MessageID
 	held     int // messages taken on that have not ended
 	out      int // calls out
+	shared   int // messages so far that went along in another's call
 	alarm    *time.Timer
 	quitting bool // no more steps: what comes in is only written down
 
@@ -168,7 +171,7 @@
 func (s *Sender) leave(stop context.CancelFunc) error {
 	stop()
 	s.server.http.Close()
-	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed))
+	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed), "shared", s.shared)
 	return s.journal.close()
 }
 
@@ -180,7 +183,7 @@
 	var events []brain.Event
 	select {
 	case e := <-s.events:
-		events = append(events, s.take(e))
+		events = append(events, s.take(e)...)
 	case <-time.After(firstList):
 	}
 	for _, m := range s.journal.order {
@@ -209,9 +212,7 @@
 func (s *Sender) turn(ctx context.Context, first any) {
 	var events []brain.Event
 	for e, n := first, 0; e != nil && n < batchMost; n++ {
-		if ev := s.take(e); ev != nil {
-			events = append(events, ev)
-		}
+		events = append(events, s.take(e)...)
 		select {
 		case e = <-s.events:
 		default:
@@ -226,20 +227,26 @@
 	s.step(ctx, events)
 }
 
-// take books one event and translates it for the Brain; nil if that need not know.
-func (s *Sender) take(e any) brain.Event {
+// take books one event and translates it for the Brain; nothing if that need not know.
+func (s *Sender) take(e any) []brain.Event {
+	one := func(e brain.Event) []brain.Event {
+		if e == nil {
+			return nil
+		}
+		return []brain.Event{e}
+	}
 	switch e := e.(type) {
 	case brain.Alarm:
-		return e
+		return one(e)
 	case submission:
-		return s.submitted(e)
+		return one(s.submitted(e))
 	case callEnd:
 		return s.callEnded(e)
 	case listEvent:
-		return s.news(e.Targets, e.Full)
+		return one(s.news(e.Targets, e.Full))
 	case failedEvent:
 		s.log.Warn("discovery failed", "err", e.err)
-		return brain.ListNews{Failed: true}
+		return one(brain.ListNews{Failed: true})
 	case toldEvent:
 		s.telling = false
 		s.owed = s.owed[len(e.notices):]
@@ -277,10 +284,21 @@
 		Destination: brain.DestinationID(sub.Dest), Deadline: sub.Deadline}
 }
 
-func (s *Sender) callEnded(e callEnd) brain.Event {
+func (s *Sender) callEnded(c callEnd) []brain.Event {
+	var events []brain.Event
+	if c.over {
+		s.out--
+	}
+	for _, e := range c.ends {
+		if _, out := e.message.calls[e.attempt]; out { // it may have ended before its call
+			events = append(events, s.itemEnded(e))
+		}
+	}
+	return events
+}
+
+func (s *Sender) itemEnded(e itemEnd) brain.Event {
 	m := e.message
-	s.out--
-	m.calls[e.attempt]()
 	delete(m.calls, e.attempt)
 	e.Message, e.Attempt = m.number, e.attempt
 	if e.Outcome == brain.TimedOut {
@@ -359,10 +377,11 @@
 			s.reply(s.messages[m.ID], answerLine{status: http.StatusAccepted})
 		}
 	}
+	var sends []brain.Send
 	for _, a := range actions {
 		switch a := a.(type) {
 		case brain.Send:
-			s.send(ctx, a, written)
+			sends = append(sends, a)
 		case brain.Cancel:
 			if m := s.messages[a.Message]; m != nil && m.calls[a.Attempt] != nil {
 				m.calls[a.Attempt]()
@@ -382,6 +401,7 @@
 			s.log.Info(a.Line)
 		}
 	}
+	s.send(ctx, now, sends, written)
 	s.tell()
 }
 
@@ -436,25 +456,94 @@
 	}
 }
 
-// send starts one call. One that could not be written down is not made: after a kill nobody would know
-// that the message may have run.
-func (s *Sender) send(ctx context.Context, a brain.Send, written bool) {
-	m, e := s.messages[a.Message], s.endpoint(a.Endpoint)
-	if m == nil || e == nil {
-		return
+// maxShared bounds what the messages of one call take in it; a body on the wire holds 64 KiB at most.
+const maxShared = maxBody - 4<<10
+
+// send makes the calls of a step, in their order: what goes to one endpoint travels together as far as its
+// kind allows, as the module counts it.
+func (s *Sender) send(ctx context.Context, now time.Duration, sends []brain.Send, written bool) {
+	type shared struct {
+		e     *endpoint
+		items []item
+		size  int
+	}
+	var calls []*shared
+	open := map[*endpoint]*shared{}
+	for _, a := range sends {
+		m, e := s.messages[a.Message], s.endpoint(a.Endpoint)
+		if m == nil || e == nil {
+			continue
+		}
+		it := item{record: m.record, message: m, attempt: m.sends, timeout: a.Timeout, last: now+a.Timeout >= m.Deadline}
+		m.sends++
+		size := base64.StdEncoding.EncodedLen(len(m.Body)) + len(m.ID) + len(m.Key) + 64
+		c := open[e]
+		if c == nil || len(c.items) >= e.most || c.size+size > maxShared {
+			c = &shared{e: e}
+			open[e], calls = c, append(calls, c)
+		}
+		c.items, c.size = append(c.items, it), c.size+size
+	}
+	for _, c := range calls {
+		s.call(ctx, c.e, c.items, written)
+	}
+}
+
+// call starts one call. One that could not be written down is not made: after a kill nobody would know that
+// its messages may have run.
+//
+// Each message has a time-out of its own. One whose time is up then ends alone, and the call goes on for the
+// others. Any other time-out ends the call: the message may be sent again at once, and two copies of it must
+// not be out together.
+func (s *Sender) call(ctx context.Context, e *endpoint, items []item, written bool) {
+	timeout, cut := time.Duration(0), time.Duration(math.MaxInt64)
+	for _, it := range items {
+		timeout = max(timeout, it.timeout)
+		if !it.last {
+			cut = min(cut, it.timeout)
+		}
+	}
+	timeout = min(timeout, cut)
+	call, cancel := context.WithTimeout(ctx, timeout)
+	for _, it := range items {
+		it.message.calls[it.attempt] = cancel
 	}
-	attempt := m.sends
-	m.sends++
-	call, cancel := context.WithTimeout(ctx, a.Timeout)
-	m.calls[attempt] = cancel
 	s.out++
-	began, rec := time.Now(), m.record // a copy: the loop may drop the body meanwhile
+	s.shared += len(items) - 1
+	began := time.Now()
+	var alone []*time.Timer
+	for _, it := range items {
+		if it.timeout < timeout {
+			alone = append(alone, time.AfterFunc(it.timeout, func() {
+				end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.TimedOut, Elapsed: time.Since(began)}
+				s.post(ctx, callEnd{ends: []itemEnd{{it.message, it.attempt, end}}})
+			}))
+		}
+	}
 	go func() {
-		end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
-		if written {
-			end = s.pool.call(call, e, rec, a.Timeout)
+		defer cancel()
+		ends := make([]brain.AttemptEnd, len(items))
+		switch {
+		case !written:
+			for i := range ends {
+				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
+			}
+		case len(items) == 1:
+			ends[0] = s.pool.call(call, e, items[0].record, timeout)
+		default:
+			ends = s.pool.callMany(call, e, items, timeout)
+		}
+		for _, t := range alone {
+			t.Stop()
+		}
+		end := callEnd{over: true}
+		for i, it := range items {
+			if ends[i].Outcome == brain.TimedOut && it.timeout > timeout {
+				ends[i].Outcome = brain.Cancelled // by another's time-out, before its own
+			}
+			ends[i].Elapsed = time.Since(began)
+			end.ends = append(end.ends, itemEnd{it.message, it.attempt, ends[i]})
 		}
-		end.Elapsed = time.Since(began)
-		s.post(ctx, callEnd{m, attempt, end})
+		s.post(ctx, end)
 	}()
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -10,12 +10,14 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"dockshift.example/dockshift/brain"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
@@ -346,6 +348,78 @@
 	}
 }
 
+// What the module sends to one endpoint at once travels as one call where its kind allows it: each call counts
+// against the destination's limit and takes a slot.
+func TestMessagesShareACall(t *testing.T) {
+	t.Parallel()
+	first, held := make(chan struct{}), false
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		if !held {
+			held = true
+			<-first
+			return st.Status(200)(c, nc)
+		}
+		var states []string
+		for _, p := range c.Parts(t) {
+			states = append(states, `{"id":"`+p.ID+`","state":"ok"}`)
+		}
+		return st.Text(200, "["+strings.Join(states, ",")+"]")(c, nc)
+	})
+	addr := run(t, st.NewPlatform(t, e.Addr), func(c *Config) { c.Settings.Kinds[0].PerCall = 20 })
+	st.HandIn(t, addr, "m0", "keyed", 0, 15*time.Second)
+	if c := e.Next(t); c.Path != "/hook" || c.ID != "m0" {
+		t.Errorf("one message goes to %s as %s", c.Path, c.ID)
+	}
+	for i := range 5 { // they wait: a window starts at one call
+		st.HandIn(t, addr, "m"+strconv.Itoa(i+1), "keyed", 0, 15*time.Second)
+	}
+	close(first)
+	parts := e.Next(t).Parts(t)
+	for _, p := range parts {
+		if p.Key != "key-"+p.ID || string(p.Body) != "body of "+p.ID {
+			t.Errorf("the endpoint got %+v", p)
+		}
+	}
+	if len(parts) != 5 {
+		t.Errorf("%d messages in the call", len(parts))
+	}
+}
+
+// Of messages in one call, one whose time is up ends alone. A time-out after which it might be sent again ends
+// the call, as two copies must not be out at once.
+func TestTimeOutsInASharedCall(t *testing.T) {
+	t.Parallel()
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		items []item
+		want  [][]brain.Outcome // of the events in turn, by message
+		over  []bool
+	}{
+		"time up": {[]item{{timeout: 50 * ms, last: true}, {timeout: 150 * ms, last: true}},
+			[][]brain.Outcome{{brain.TimedOut}, {brain.TimedOut, brain.TimedOut}}, []bool{false, true}},
+		"restart": {[]item{{timeout: 50 * ms}, {timeout: time.Hour, last: true}},
+			[][]brain.Outcome{{brain.TimedOut, brain.Cancelled}}, []bool{true}},
+	} {
+		e := st.NewEndpoint(t, st.Silent)
+		s := newTest(t, st.NewPlatform(t), nil)
+		for i := range c.items {
+			c.items[i].ID = "m" + strconv.Itoa(i)
+			c.items[i].message = &message{stored: &stored{}, ended: true, calls: map[int]context.CancelFunc{}}
+		}
+		s.call(context.Background(), &endpoint{addr: e.Addr}, c.items, true)
+		for i, want := range c.want {
+			end := st.Receive(t, s.events).(callEnd)
+			var got []brain.Outcome
+			for _, it := range end.ends {
+				got = append(got, it.Outcome)
+			}
+			if !slices.Equal(got, want) || end.over != c.over[i] {
+				t.Errorf("%s: event %d: %v, over %v", name, i, got, end.over)
+			}
+		}
+	}
+}
+
 // watching waits until the sender watches from that version on.
 func watching(t *testing.T, p *st.Platform, version int) {
 	t.Helper()
@@ -458,7 +532,8 @@
 	began := time.Now()
 	end := callOnce(s.pool, at, 30*time.Millisecond, "")
 	end.Elapsed = time.Since(began)
-	s.callEnded(callEnd{&message{stored: &stored{}, ended: true, calls: map[int]context.CancelFunc{0: func() {}}}, 0, end})
+	m := &message{stored: &stored{}, ended: true, calls: map[int]context.CancelFunc{0: func() {}}}
+	s.callEnded(callEnd{[]itemEnd{{m, 0, end}}, true})
 	if n := s.pool.idle.Load(); n != 0 {
 		t.Errorf("%d idle connections after a time-out", n)
 	}
--- a/internal/sendertest/platform.go
+++ b/internal/sendertest/platform.go
@@ -24,6 +24,24 @@
 	ID, Key, Body string
 	Header        http.Header
 	Conn          int // which connection it came on, from 1
+	Path          string
+}
+
+// Part is a message of a call that several share.
+type Part struct {
+	ID   string `json:"id"`
+	Key  string `json:"key"`
+	Body []byte `json:"body"`
+}
+
+// Parts reads the messages of a shared call.
+func (c Call) Parts(t testing.TB) []Part {
+	t.Helper()
+	var parts []Part
+	if err := json.Unmarshal([]byte(c.Body), &parts); c.Path != "/hook/batch" || err != nil {
+		t.Fatalf("%s is no shared call: %v %q", c.Path, err, c.Body)
+	}
+	return parts
 }
 
 // Endpoint is a destination's endpoint. Answer gets each whole call and the connection to answer on; if it
@@ -80,7 +98,7 @@
 		if err != nil {
 			return
 		}
-		call := Call{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), string(body), req.Header, n}
+		call := Call{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), string(body), req.Header, n, req.URL.Path}
 		e.Calls <- call
 		if !answer(call, c) {
 			return
@@ -100,6 +118,18 @@
 	}
 }
 
+// Text is the script of an endpoint that gives every call one answer with a body.
+func Text(code int, body string, lines ...string) func(Call, net.Conn) bool {
+	text := "HTTP/1.1 " + strconv.Itoa(code) + " X\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	for _, l := range lines {
+		text += l + "\r\n"
+	}
+	return func(_ Call, c net.Conn) bool {
+		_, err := io.WriteString(c, text+"\r\n"+body)
+		return err == nil
+	}
+}
+
 // Silent answers nothing and keeps the connection until its other side closes it.
 func Silent(_ Call, c net.Conn) bool {
 	io.Copy(io.Discard, c)
