Watch the endpoint list where the settings say it is pushed

The module asks for the list only where the settings have it on request; the sender took that for both, so on a pushed site it never watched. It went on with the list of its configuration, sent to endpoints that drained, and never heard of those that replaced them. It now watches from its start on, and again after a failure.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// follow watches when the Brain asks for it. After a failure the list is asked for whole, as changes may
-// have been missed; the Brain decides when, and failures in a row are told to it ever later.
+// follow watches when asked to. After a failure the list is asked for whole, as changes may have been missed;
+// who asks decides when, and failures in a row are told of ever later.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
 	for {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -114,6 +114,9 @@
 		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
 	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
 
+	if !s.c.Settings.AsksForList {
+		s.ask()
+	}
 	s.resume(work)
 	l, err := listen()
 	if err != nil {
@@ -246,6 +249,9 @@
 		return one(s.news(e.Targets, e.Full))
 	case failedEvent:
 		s.log.Warn("discovery failed", "err", e.err)
+		if !s.c.Settings.AsksForList {
+			s.ask()
+		}
 		return one(brain.ListNews{Failed: true})
 	case toldEvent:
 		s.telling = false
@@ -393,10 +399,7 @@
 		case brain.SetAlarm: // each is earlier than the one set before
 			s.alarm.Reset(max(0, a.At-s.clock.now()))
 		case brain.WatchList:
-			select {
-			case s.asked <- struct{}{}:
-			default:
-			}
+			s.ask()
 		case brain.Log:
 			s.log.Info(a.Line)
 		}
@@ -405,6 +408,15 @@
 	s.tell()
 }
 
+// ask begins a watch of the list. Where the settings have the list pushed, the module asks for nothing, and the
+// sender watches by itself from its start on: on sockets a change comes to nobody unasked.
+func (s *Sender) ask() {
+	select {
+	case s.asked <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Sender) endpoint(n brain.EndpointID) *endpoint {
 	e, err := s.list.number(n)
 	if err != nil {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -427,11 +427,24 @@
 	}
 }
 
-func TestDrain(t *testing.T) {
+// byDiscovery runs a test where the module asks for the list and where it is pushed: on sockets the sender
+// watches either way.
+func byDiscovery(t *testing.T, test func(t *testing.T, edit func(*Config))) {
 	t.Parallel()
+	for name, asks := range map[string]bool{"on request": true, "pushed": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t, func(c *Config) { c.Settings.AsksForList = asks })
+		})
+	}
+}
+
+func TestDrain(t *testing.T) { byDiscovery(t, testDrain) }
+
+func testDrain(t *testing.T, edit func(*Config)) {
 	old, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
 	p := st.NewPlatform(t, old.Addr)
-	addr := run(t, p, nil)
+	addr := run(t, p, edit)
 	st.HandIn(t, addr, "a", "keyed", 0, 15*time.Second)
 	old.Next(t)
 	watching(t, p, 1)
@@ -449,11 +462,12 @@
 
 // While discovery is down the sender goes on with what it knows; then it asks for the whole list, as the
 // changes in between never come, and watches from there.
-func TestDiscoveryOutage(t *testing.T) {
-	t.Parallel()
+func TestDiscoveryOutage(t *testing.T) { byDiscovery(t, testDiscoveryOutage) }
+
+func testDiscoveryOutage(t *testing.T, edit func(*Config)) {
 	e, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
 	p := st.NewPlatform(t, e.Addr)
-	addr := run(t, p, nil)
+	addr := run(t, p, edit)
 	watching(t, p, 1)
 	p.Down(true)
 	for st.Receive(t, p.Lists) != "" { // it asks for the whole, in vain
