Heed SIGHUP: read the configuration again and move discovery

Unheeded, the signal ended the process. The sender now reads the file again; the watch and notices that are out at the old address are broken off and go to the new one, from the whole list on. A file that cannot be used is a line in the log.

--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -1,4 +1,5 @@
-// Command saffronyard is the real sender: it reads its configuration, listens, and serves until SIGTERM.
+// Command saffronyard is the real sender: it reads its configuration, listens, and serves until SIGTERM. SIGHUP
+// makes it read the configuration again.
 package main
 
 import (
@@ -30,6 +31,9 @@
 func run(log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	hup := make(chan os.Signal, 1) // from the first: unheeded it would end the process
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	c, err := sender.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -44,5 +48,27 @@
 	if err != nil {
 		return err
 	}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-hup:
+				reload(s, log)
+			case <-done:
+				return
+			}
+		}
+	}()
 	return s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
 }
+
+// reload heeds SIGHUP. With a file that cannot be used the sender goes on as it is.
+func reload(s *sender.Sender, log *slog.Logger) {
+	c, err := sender.ReloadConfig(os.Getenv)
+	if err != nil {
+		log.Error("reload", "err", err)
+		return
+	}
+	s.Reload(c)
+}
--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -27,7 +27,19 @@
 // process is a sender that can be killed.
 type process struct {
 	*exec.Cmd
-	addr string
+	addr   string
+	config string
+}
+
+// reload replaces the configuration's file and sends SIGHUP.
+func (c *process) reload(t *testing.T, text []byte) {
+	t.Helper()
+	if err := os.WriteFile(c.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // start runs a sender and waits until it is ready.
@@ -47,7 +59,7 @@
 	if err := os.WriteFile(config, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c := &process{exec.Command(os.Args[0]), addr}
+	c := &process{exec.Command(os.Args[0]), addr, config}
 	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+config, "EDGE_LISTEN="+addr, "EDGE_STATE="+state)
 	c.Stderr = os.Stderr
 	if err := c.Start(); err != nil {
@@ -170,6 +182,40 @@
 	}
 }
 
+// SIGHUP moves the sender to the platform's new address, for the list and for notices. A file that cannot be
+// used is a line in the log and nothing more.
+func TestReload(t *testing.T) {
+	old, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, old.Addr)
+	s := start(t, p, t.TempDir())
+	for _, bad := range []string{"", "{", `{"discovery":"nowhere","settings":{}}`, `{"discovery":5}`} {
+		s.reload(t, []byte(bad))
+	}
+	st.HandIn(t, s.addr, "a", "keyed", 0, 15*time.Second)
+	if c := old.Next(t); c.ID != "a" {
+		t.Errorf("the endpoint got %s", c.ID)
+	}
+	moved := st.NewPlatform(t, other.Addr)
+	p.Deaf(true)
+	raw, err := json.Marshal(st.Config(moved, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.reload(t, raw)
+	for st.Receive(t, moved.Lists) != "" { // the whole list, and then
+		t.Error("the new address is first asked for changes")
+	}
+	st.Receive(t, moved.Lists) // it is watched
+	st.HandIn(t, s.addr, "b", "keyed", 0, 15*time.Second)
+	if c := other.Next(t); c.ID != "b" {
+		t.Errorf("the new endpoint got %s", c.ID)
+	}
+	st.HandIn(t, s.addr, "c", "keyed", 9, 100*time.Millisecond) // there is no such destination
+	if n := st.Receive(t, moved.Notices); n.Message != "c" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+}
+
 func TestUnreadableConfigurationIsAPlainError(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(file, []byte(`{"settings":{"step":"soon"}}`), 0o600); err != nil {
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -61,6 +62,22 @@
 	return c, nil
 }
 
+// ReloadConfig reads the file again. Here it wins, as the variables are those of the start.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := ParseConfig(raw)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return nil, fmt.Errorf("configuration: discovery: %w", err)
+	}
+	return c, nil
+}
+
 // ParseConfig reads the configuration's JSON.
 func ParseConfig(raw []byte) (*Config, error) {
 	var file struct {
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -41,16 +42,46 @@
 
 // discovery speaks with the platform: the list and its changes, and notices.
 type discovery struct {
-	base   string
 	client *http.Client
+
+	mu    sync.Mutex
+	base  string
+	here  context.Context // until the platform moves
+	leave context.CancelFunc
+}
+
+// move turns to another address. What is out at the old one is broken off and goes to the new.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.base == "http://"+addr {
+		return
+	}
+	if d.leave != nil {
+		d.leave()
+	}
+	d.base = "http://" + addr
+	d.here, d.leave = context.WithCancel(context.Background())
+}
+
+// at is where the platform is now, and a context that ends with ctx or when it moves.
+func (d *discovery) at(ctx context.Context) (base string, here context.Context, cancel context.CancelFunc) {
+	d.mu.Lock()
+	base, moved := d.base, d.here
+	d.mu.Unlock()
+	here, end := context.WithCancel(ctx)
+	stop := context.AfterFunc(moved, end)
+	return base, here, func() { stop(); end() }
 }
 
 func newDiscovery(addr string) *discovery {
-	return &discovery{base: "http://" + addr, client: &http.Client{
+	d := &discovery{client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + answerTime},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}}}
+	d.move(addr)
+	return d
 }
 
 // pause waits after the n-th failure in a row, a little less or more each time; false if ctx ended.
@@ -67,9 +98,9 @@
 }
 
 // list asks for the whole list, or after a version for what is newer, waiting for it.
-func (d *discovery) list(ctx context.Context, after int64) (Targets, error) {
+func (d *discovery) list(ctx context.Context, base string, after int64) (Targets, error) {
 	var t Targets
-	url, limit := d.base+"/api/targets", answerTime
+	url, limit := base+"/api/targets", answerTime
 	if after >= 0 {
 		url += fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
 		limit += watchWait
@@ -101,9 +132,9 @@
 
 // watch follows the list from a version on, -1 for none, until a call fails; then it returns. The next
 // call goes out as soon as an answer is passed on: a gap would end the watch.
-func (d *discovery) watch(ctx context.Context, version int64, news func(Targets)) error {
+func (d *discovery) watch(ctx context.Context, base string, version int64, news func(Targets)) error {
 	for {
-		t, err := d.list(ctx, version)
+		t, err := d.list(ctx, base, version)
 		if err != nil {
 			return err
 		}
@@ -122,13 +153,23 @@
 		case <-ctx.Done():
 			return
 		}
-		err := d.watch(ctx, version, func(t Targets) {
-			failures = 0
-			news(t)
-		})
-		version = -1
-		if failures++; failures > 1 && !pause(ctx, failures-1) || ctx.Err() != nil {
-			return
+		var err error
+		for moved := true; moved; version = -1 { // at a new address it goes on at once, from the whole list
+			base, here, cancel := d.at(ctx)
+			err = d.watch(here, base, version, func(t Targets) {
+				failures = 0
+				news(t)
+			})
+			if failures++; failures > 1 {
+				pause(here, failures-1)
+			}
+			if moved = here.Err() != nil; moved {
+				failures = 0
+			}
+			cancel()
+			if ctx.Err() != nil {
+				return
+			}
 		}
 		failed(err)
 	}
@@ -156,21 +197,28 @@
 			enc.Encode(n) // strings and numbers only: it cannot fail
 		}
 		for failures := 0; ; {
-			if d.post(ctx, lines.Bytes()) == nil {
+			base, here, cancel := d.at(ctx)
+			err := d.post(here, base, lines.Bytes())
+			if err == nil {
+				cancel()
 				told(batch)
 				break
 			}
-			if failures++; !pause(ctx, failures) {
+			if failures++; !pause(here, failures) {
+				failures = 0 // it has moved
+			}
+			cancel()
+			if ctx.Err() != nil {
 				return
 			}
 		}
 	}
 }
 
-func (d *discovery) post(ctx context.Context, lines []byte) error {
+func (d *discovery) post(ctx context.Context, base string, lines []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, noticeTime)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.base+"/v1/notices", bytes.NewReader(lines))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/notices", bytes.NewReader(lines))
 	if err != nil {
 		return err
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -408,6 +408,12 @@
 	s.tell()
 }
 
+// Reload takes over from a new configuration what may change in service: the platform's address.
+func (s *Sender) Reload(c *Config) {
+	s.log.Info("reloaded", "discovery", c.Discovery)
+	s.disc.move(c.Discovery)
+}
+
 // ask begins a watch of the list. Where the settings have the list pushed, the module asks for nothing, and the
 // sender watches by itself from its start on: on sockets a change comes to nobody unasked.
 func (s *Sender) ask() {
