Tell a full connection table as a failed connect, not as a limit

An endpoint with all its connections answers the first call on a further one 503 and closes it. Read as refusals they halved the window and paused the whole destination, while the module's rule for crowded endpoints, which keeps idle connections shorter, never heard of them.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -42,6 +42,7 @@
 	r     *bufio.Reader
 	addr  string
 	since time.Time   // it has been idle
+	calls int         // written on it
 	first []byte      // of the answer that is being read
 	stop  func() bool // lets go of the context of the call; false if that has cut it off
 }
@@ -204,7 +205,7 @@
 		end.Outcome, end.Over = outcome, outcome == brain.Served
 		return end
 	}
-	p.read(resp, &end)
+	p.read(resp, c, &end)
 	// The status is the outcome; what follows only decides whether the connection can be used again.
 	p.rest(e, c, resp)
 	return end
@@ -248,7 +249,7 @@
 		end.Outcome = outcome
 		return all(end)
 	}
-	p.read(resp, &end)
+	p.read(resp, c, &end)
 	body, whole := p.rest(e, c, resp)
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -303,6 +304,7 @@
 		c.drop()
 		return nil, nil, brain.ConnectFailed
 	}
+	c.calls++
 	c.first = c.first[:0]
 	resp, err := answer(c.r)
 	if err == nil {
@@ -343,7 +345,7 @@
 }
 
 // read translates an answer.
-func (p *pool) read(resp *http.Response, end *brain.AttemptEnd) {
+func (p *pool) read(resp *http.Response, c *conn, end *brain.AttemptEnd) {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		end.Outcome, end.Over = brain.Served, true
@@ -351,8 +353,13 @@
 		end.Outcome = brain.Refused
 	case http.StatusServiceUnavailable:
 		end.Outcome = brain.Refused
-		if resp.Header.Get("X-Over-Slots") == "1" {
+		switch {
+		case resp.Header.Get("X-Over-Slots") == "1":
 			end.Outcome = brain.NotSent
+		case c.calls == 1 && resp.Close:
+			// An endpoint with all the connections that it takes turns a further one away like this. It says
+			// nothing of the destination's limit; to the module it is a connect that failed.
+			end.Outcome = brain.ConnectFailed
 		}
 	case http.StatusGatewayTimeout:
 		end.Outcome = brain.NotSent
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -32,6 +32,7 @@
 		"delivered":   {st.Status(200, "X-Load: x0=0.4,x1=25,other=7"), brain.AttemptEnd{Outcome: brain.Served, Over: true, Reported: true, Left: 0.4, Limit: 25}},
 		"error":       {st.Status(500), brain.AttemptEnd{Outcome: brain.Errored}},
 		"wait":        {st.Status(429, "X-RateLimit-Wait-Ms: 250"), brain.AttemptEnd{Outcome: brain.Refused, Wait: 250 * time.Millisecond}},
+		"table full":  {st.Status(503, "Connection: close"), brain.AttemptEnd{Outcome: brain.ConnectFailed}},
 		"turned away": {st.Status(503), brain.AttemptEnd{Outcome: brain.Refused}},
 		"over slots":  {st.Status(503, "X-Over-Slots: 1"), brain.AttemptEnd{Outcome: brain.NotSent}},
 		"no attempts": {st.Status(504), brain.AttemptEnd{Outcome: brain.NotSent}},
@@ -63,6 +64,23 @@
 	}
 }
 
+// A call on a connection that has served before is turned away for another cause than the number of connections,
+// also where the endpoint closes it then.
+func TestTurnedAwayOnAServedConnection(t *testing.T) {
+	answers := []func(st.Call, net.Conn) bool{st.Status(200), st.Status(503, "Connection: close")}
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		a := answers[0]
+		answers = answers[1:]
+		return a(c, nc)
+	})
+	p, at := testPool(), &endpoint{addr: e.Addr}
+	for _, want := range []brain.Outcome{brain.Served, brain.Refused} {
+		if got := callOnce(p, at, st.Wait, ""); got.Outcome != want || e.Next(t).Conn != 1 {
+			t.Errorf("got %+v, want %v", got, want)
+		}
+	}
+}
+
 // Messages that share a call share its fate, unless the answer tells how each one fared.
 func TestSharedOutcomes(t *testing.T) {
 	each := func(outcomes ...brain.Outcome) (ends []brain.AttemptEnd) {
