--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -25,8 +25,15 @@
 	tryAgain = 200 * time.Millisecond
 )
 
-// overhead is what all records on one message's attempts and end may come to, beside its take record.
-func overhead(id string) int64 { return 1536 + 14*int64(len(id)) }
+const (
+	// maxTryName bounds an endpoint's name in an attempt: it is kept for who reads the file.
+	maxTryName = 24
+	// overhead is what a message's attempts and end may add to its line in a compacted file. Only that is
+	// set aside: the records that lead there go with the next compaction.
+	overhead = 640
+	// slackPart of the budget is left by what is taken on, or every further record would need a compaction.
+	slackPart = 10
+)
 
 // record is one line. Times are the clock's: Unix nanoseconds.
 type record struct {
@@ -72,7 +79,7 @@
 	record        // of op take
 	how    string // its end, if a notice of it is still owed
 	retry  int64
-	cost   int64 // what it may take in the file
+	cost   int64 // what it may take in a compacted file
 }
 
 func (m *stored) apply(r *record) {
@@ -108,7 +115,7 @@
 	file   *os.File
 	budget int64 // bytes that old and new file may hold together
 	size   int64
-	live   int64 // the sum of costs: an upper bound of a compacted file and all that follows on its messages
+	live   int64 // the sum of costs: an upper bound of a compacted file, now and until its messages end
 	buf    bytes.Buffer
 	failed bool      // the last write failed: nothing more is written until a compaction succeeds
 	tried  time.Time // the last compaction
@@ -154,7 +161,7 @@
 			if m != nil { // an id is used again only once its message is over
 				j.remove(m)
 			}
-			j.add(&stored{record: rec, how: rec.How, retry: rec.RetryMS, cost: int64(len(line)) + overhead(rec.ID)})
+			j.add(&stored{record: rec, how: rec.How, retry: rec.RetryMS, cost: int64(len(line)) + overhead})
 		case m == nil:
 		case rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered):
 			j.remove(m)
@@ -202,8 +209,8 @@
 	if _, err := encode(&line, &rec); err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	m := &stored{record: rec, cost: int64(line.Len()) + overhead(rec.ID)}
-	fits := func(size int64) bool { return size+j.live+2*m.cost <= j.budget }
+	m := &stored{record: rec, cost: int64(line.Len()) + overhead}
+	fits := func(size int64) bool { return size+j.live+2*m.cost <= j.budget-j.budget/slackPart }
 	if !fits(j.live) && !fits(j.size+int64(j.buf.Len())) {
 		return nil, errNoRoom
 	}
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -139,6 +139,40 @@
 	}
 }
 
+// The room that the settings give for messages is the limit, not the journal's: of what a message may come to
+// only its line in a compacted file is set aside. And the file is not written anew for every few records.
+func TestJournalHoldsWhatTheSettingsAllow(t *testing.T) {
+	const most, body, budget = 650, 600, 2_880_000 // 3 MB of disk
+	j := openTest(t, t.TempDir(), budget)
+	compacted, last := 0, j.tried
+	for i := range 4 * most {
+		m, err := j.take(record{ID: fmt.Sprintf("%016x", i), Key: fmt.Sprintf("%032x", i), Class: "application-forward",
+			Dest: 10, Deadline: 1 << 60, Body: bytes.Repeat([]byte{255}, body)})
+		if err != nil {
+			t.Fatalf("after %d, %d held: %v", i, len(j.byID), err)
+		}
+		for n := range 3 {
+			j.note(m, record{Op: "send", Sent: &try{At: 1 << 60, Endpoint: "s-5be2a07c"}})
+			j.note(m, record{Op: "end", Try: n, Never: true})
+			if err := j.flush(); err != nil {
+				t.Fatal(err)
+			}
+			if j.tried != last {
+				compacted, last = compacted+1, j.tried
+			}
+			if j.size+j.live > budget {
+				t.Fatalf("after %d: %d bytes and a compaction of up to %d", i, j.size, j.live)
+			}
+		}
+		if len(j.byID) == most {
+			j.note(j.byID[fmt.Sprintf("%016x", i-most+1)], record{Op: "over", How: delivered})
+		}
+	}
+	if compacted > most/10 {
+		t.Errorf("%d compactions", compacted)
+	}
+}
+
 // A disk that takes nothing more: work is refused, nothing is lost that was written, and when there is
 // room again the state is written whole.
 func TestFullDisk(t *testing.T) {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -25,7 +25,7 @@
 	batchMost   = 256  // taken in by one step
 	idleLook    = time.Second
 	firstList   = 300 * time.Millisecond // the list is waited for at the start
-	journalPart = 0.9                    // of the disk's limit: the rest is for what the file system adds
+	journalPart = 0.96                   // of the disk's limit: the rest is for what the file system adds
 )
 
 // message is one that the Brain holds.
@@ -369,7 +369,7 @@
 		switch a := a.(type) {
 		case brain.Send:
 			if m, e := s.messages[a.Message], s.endpoint(a.Endpoint); m != nil && e != nil {
-				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxName)], Zone: e.zone}})
+				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxTryName)], Zone: e.zone}})
 			}
 		case brain.Refuse:
 			s.close(a.Message, handedBack, http.StatusServiceUnavailable, a.HoldOff)
