Warm a shut destination up from the opening that it told, without probes

Told that a shut destination opens at a time, the module still probed it then with one message, and where that probe went unanswered for a second the others waited on. It now counts as returned and cold from the told time on, and what waits goes in shared calls at the pace that a cold destination bears.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -245,6 +245,10 @@
 		b.wakeAt(r.closedUntil)
 		return false
 	}
+	if r.state == out && r.reopens > 0 {
+		b.warmUp(r, 1) // there is room now, as told: a probe would only cost those that wait its time
+		r.bad = 0
+	}
 	if r.state == out && r.probes > 0 && b.now-r.probedAt < r.patience() {
 		b.wakeAt(r.probedAt + r.patience())
 		return false
@@ -272,7 +276,7 @@
 	}
 	spread := float64(b.draw(1000))/1000 - 0.5 // senders that fail in step do not go on in step
 	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, spread, b.now
-	r.window = 1
+	r.window, r.reopens = 1, 0
 	b.log(r, "out: calls fail, are refused or go unanswered; one call at a time")
 }
 
@@ -864,12 +868,10 @@
 	r.servedSent = max(r.servedSent, a.sent)
 	r.bad, r.lost, r.pause, r.takenBack = 0, 0, 0, 0
 	if r.state == out {
-		r.state, r.since, r.window, r.tokens, r.filled = cold, b.now, 1, 0, b.now
 		if b.enough(r) >= inRow/2 {
 			a.at.crowded = 0 // an outage as such: its connects did not fail for a full table
 		}
-		r.fails = min(r.fails, failing)
-		b.log(r, "answers again; warming up")
+		b.warmUp(r, 0)
 	}
 	// A window that is not in use says nothing about what the destination bears: it grows in use only,
 	// and fades out of it, so that a destination that falls silent takes few slots before it is noticed.
@@ -891,6 +893,13 @@
 	}
 }
 
+// warmUp ends an outage: r is cold from now on.
+func (b *Brain) warmUp(r *route, tokens float64) {
+	r.state, r.since, r.window, r.tokens, r.filled, r.reopens = cold, b.now, 1, tokens, b.now, 0
+	r.fails = min(r.fails, failing)
+	b.log(r, "answers again; warming up")
+}
+
 // refused closes the route for the told wait, or for a growing pause if none was told.
 func (b *Brain) refused(r *route, a *attempt, e AttemptEnd) {
 	b.halve(r, a.sent)
@@ -901,6 +910,9 @@
 		if e.Wait > b.s.OverloadFor && r.state != out {
 			b.goOut(r) // shut for longer than any limit is counted over: it comes back cold
 		}
+		if r.state == out {
+			r.reopens = r.closedUntil
+		}
 		return
 	}
 	r.pause = min(max(2*r.pause, pauseFirst), pauseMost)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -715,6 +715,44 @@
 	}
 }
 
+// A shut destination that told when it opens was probed with single messages then, as after any outage, while
+// all others waited on. It is open as told: those that wait go, at the pace that a cold one bears.
+func TestToldOpeningNeedsNoProbe(t *testing.T) {
+	set := settings()
+	set.Kinds[0].PerCall = 20
+	r := newRig(t, set)
+	r.serve(20, 0, 30*ms)
+	s := r.step(r.message(0, 0, 0))
+	shut := r.end(s[0], Refused)
+	shut.Wait = 5 * time.Second
+	r.step(shut)
+	opens := r.now + shut.Wait
+	route := r.b.dests[0].shared
+	if route.state != out {
+		t.Fatal("a destination shut for long is no outage")
+	}
+	for range 10 {
+		r.step(r.message(0, 0, 0))
+	}
+	var sends []Send
+	for r.now < opens+100*ms && len(sends) == 0 {
+		r.now += 5 * ms
+		if sends = r.step(Alarm{}); len(sends) > 0 && r.now < opens {
+			t.Fatalf("sent %v before the wait was over", opens-r.now)
+		}
+	}
+	if len(sends) != 11 || route.state != cold {
+		t.Fatalf("%d sent at the opening, state %v", len(sends), route.state)
+	}
+	// One that fails all the same is an outage again after some, not at the first.
+	for _, x := range sends {
+		r.step(r.end(x, Errored))
+	}
+	if route.state != cold {
+		t.Errorf("state %v after one failure", route.state)
+	}
+}
+
 // With few slots, hung destinations got the slots taken back from them again and again.
 func TestSlotsGoToDestinationsThatAnswer(t *testing.T) {
 	r := newRig(t, settings())
--- a/brain/state.go
+++ b/brain/state.go
@@ -53,10 +53,11 @@
 	halvedAt    time.Duration
 	closedUntil time.Duration // told to wait, or paused
 	pause       time.Duration
-	fails       float64 // mean share of failed calls
-	bad         int     // calls in a row that were not served
-	lost        int     // those of them that were not refused
-	recent      float64 // recent latency, s
+	reopens     time.Duration // told in an outage that it is over then, 0 if not
+	fails       float64       // mean share of failed calls
+	bad         int           // calls in a row that were not served
+	lost        int           // those of them that were not refused
+	recent      float64       // recent latency, s
 	lastServed  time.Duration
 	sentAt      time.Duration // of the last call
 	servedSent  time.Duration // latest sending of a call that was served
