--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -13,11 +13,13 @@
 )
 
 const (
-	watchWait  = 20 * time.Second       // a watch call waits so long for news
-	answerTime = 2 * time.Second        // and an answer takes no longer than this besides
+	// A watch that was out while discovery was down may never be answered, and nothing shows it but its time:
+	// so that is short. The agent answers at once and at no cost.
+	watchWait  = 2 * time.Second        // a watch call waits so long for news
+	answerTime = time.Second            // and an answer takes no longer than this besides
 	noticeTime = 500 * time.Millisecond // notices are answered at once, or the connection says nothing any more
 	backOff    = 100 * time.Millisecond // first pause after a failure; doubles
-	backOffTop = 2 * time.Second
+	backOffTop = 500 * time.Millisecond
 	noticeMost = 256     // notices in one call
 	maxList    = 8 << 20 // bytes of a list
 )
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -483,6 +483,28 @@
 	}
 }
 
+// A watch may stay unanswered for good after discovery was down. It is given up in time, and the list is asked
+// for anew, before much is sent to endpoints that are gone.
+func TestLostWatch(t *testing.T) { byDiscovery(t, testLostWatch) }
+
+func testLostWatch(t *testing.T, edit func(*Config)) {
+	e, other := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	addr := run(t, p, edit)
+	watching(t, p, 1)
+	p.Lose()
+	began := time.Now()
+	p.Change(st.Target("s-0", other.Addr, 0, "SERVING"))
+	watching(t, p, 2)
+	if took := time.Since(began); took > 6*time.Second {
+		t.Errorf("it took %v", took)
+	}
+	st.HandIn(t, addr, "a", "keyed", 0, 15*time.Second)
+	if c := other.Next(t); c.ID != "a" {
+		t.Errorf("the new address got %s", c.ID)
+	}
+}
+
 // The configuration's list may be older than what the earlier process was told: what it resumes does not go
 // to an endpoint that has drained since.
 func TestResumedMessageHeedsAnEarlierDrain(t *testing.T) {
--- a/internal/sendertest/platform.go
+++ b/internal/sendertest/platform.go
@@ -179,6 +179,7 @@
 	changed chan struct{}
 	down    bool
 	deaf    bool // notices are answered 503
+	lost    int  // watches that began before the last of so many losses are never answered
 }
 
 // NewPlatform starts discovery with a list of endpoints: that at place i is for destination i.
@@ -236,6 +237,14 @@
 	p.wake()
 }
 
+// Lose leaves the watches that are out unanswered for good, with their connections open.
+func (p *Platform) Lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost++
+	p.wake()
+}
+
 // Deaf makes notices fail, or lets them work again.
 func (p *Platform) Deaf(deaf bool) {
 	p.mu.Lock()
@@ -246,11 +255,18 @@
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	p.Lists <- r.URL.RawQuery
 	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	p.mu.Lock()
+	began := p.lost
+	p.mu.Unlock()
 	for {
 		p.mu.Lock()
-		version, changed, down := p.version, p.changed, p.down
+		version, changed, down, lost := p.version, p.changed, p.down, p.lost
 		answer, _ := json.Marshal(map[string]any{"version": p.version, "full": true, "servers": p.targets})
 		p.mu.Unlock()
+		if lost != began {
+			<-r.Context().Done()
+			return
+		}
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
