Take half an answer for one that may have run, and bound an answer's length

A 503, 429, 410 or 504 whose body broke off counted as proof that the call never ran, so an unsafe message could go again; a first line like 2001 counted as 200; a head without an end was read into memory until the time-out. What does not come whole may have run, but for a single call whose first line says 200.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -43,6 +43,7 @@
 	addr  string
 	since time.Time   // it has been idle
 	calls int         // written on it
+	room  int         // bytes that the answer may still take
 	first []byte      // of the answer that is being read
 	stop  func() bool // lets go of the context of the call; false if that has cut it off
 }
@@ -52,15 +53,30 @@
 	c.Close()
 }
 
+// maxAnswer bounds an answer, head and body: an endpoint may send nonsense without an end.
+const maxAnswer = maxBody + 64<<10
+
+var errTooLong = errors.New("the answer has no end")
+
 // served is how an answer begins from which on the message is delivered, whatever becomes of the rest.
 const served = "HTTP/1.1 200"
 
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.first = append(c.first, b[:min(n, len(served)-len(c.first))]...)
+	if c.room <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.room)])
+	c.room -= n
+	c.first = append(c.first, b[:min(n, len(served)+1-len(c.first))]...)
 	return n, err
 }
 
+// saysServed reports whether what has come begins with a first line of 200.
+func (c *conn) saysServed() bool {
+	rest, ok := strings.CutPrefix(string(c.first), served)
+	return ok && strings.Trim(rest, " \r\n") == ""
+}
+
 // pool opens, keeps and closes connections.
 type pool struct {
 	connectTimeout time.Duration
@@ -206,8 +222,11 @@
 		return end
 	}
 	p.read(resp, c, &end)
-	// The status is the outcome; what follows only decides whether the connection can be used again.
-	p.rest(e, c, resp)
+	// A first line of 200 is true whatever follows. Any other answer counts only if it comes whole: that a call
+	// never ran is not to be taken from half an answer.
+	if _, whole := p.rest(e, c, resp); !whole && end.Outcome != brain.Served {
+		end = brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait}
+	}
 	return end
 }
 
@@ -251,9 +270,11 @@
 	}
 	p.read(resp, c, &end)
 	body, whole := p.rest(e, c, resp)
-	switch resp.StatusCode {
-	case http.StatusOK:
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+	switch {
+	case !whole:
+		return all(brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait})
+	case resp.StatusCode == http.StatusOK:
+	case resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusRequestEntityTooLarge:
 		end.Outcome = brain.NotSent // by the protocol none of them has run
 		return all(end)
 	default:
@@ -265,7 +286,7 @@
 	}
 	end.Outcome, end.Over = brain.Errored, false // what the answer leaves open may have run
 	all(end)
-	if !whole || json.Unmarshal(body, &told) != nil {
+	if json.Unmarshal(body, &told) != nil {
 		return ends
 	}
 	states := make(map[string]string, len(told))
@@ -305,21 +326,28 @@
 		return nil, nil, brain.ConnectFailed
 	}
 	c.calls++
-	c.first = c.first[:0]
+	c.first, c.room = c.first[:0], maxAnswer
 	resp, err := answer(c.r)
 	if err == nil {
 		return resp, c, 0
 	}
 	c.drop()
 	switch {
-	case string(c.first) == served:
+	case c.saysServed():
 		return nil, nil, brain.Served
+	}
+	return nil, nil, unread(ctx)
+}
+
+// unread is the outcome of a call whose answer did not come whole: it may have run.
+func unread(ctx context.Context) brain.Outcome {
+	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return nil, nil, brain.TimedOut
+		return brain.TimedOut
 	case ctx.Err() != nil:
-		return nil, nil, brain.Cancelled
+		return brain.Cancelled
 	}
-	return nil, nil, brain.Broken
+	return brain.Broken
 }
 
 // rest reads an answer's body, whole or not, and keeps the connection if it can be used again.
