--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -26,6 +26,8 @@
 )
 
 const (
+	// mostTries bounds what is believed of a number of attempts.
+	mostTries = 100
 	// maxTryName bounds an endpoint's name in an attempt: it is kept for who reads the file.
 	maxTryName = 24
 	// overhead is what a message's attempts and end may add to its line in a compacted file. Only that is
@@ -49,7 +51,7 @@
 	Body     []byte        `json:"body,omitempty"`
 	Tries    []try         `json:"tries,omitempty"`
 
-	Try int `json:"try,omitempty"` // end: which attempt, from 0
+	Try int `json:"try,omitempty"` // send, end: which attempt, from 0
 	// send: the new attempt; end: that it never ran
 	Sent  *try `json:"sent,omitempty"`
 	Never bool `json:"never,omitempty"`
@@ -85,6 +87,10 @@
 func (m *stored) apply(r *record) {
 	switch r.Op {
 	case "send":
+		// Where the record of an attempt before this one is damaged, it may have run, nobody knows when.
+		for r.Sent != nil && len(m.Tries) < min(r.Try, mostTries) {
+			m.Tries = append(m.Tries, try{})
+		}
 		if r.Sent != nil {
 			m.Tries = append(m.Tries, *r.Sent)
 		}
@@ -121,6 +127,8 @@
 	tried  time.Time // the last compaction
 	byID   map[string]*stored
 	order  []*stored // in the order taken; ended ones are dropped when compacting
+
+	damaged int // lines that could not be read
 }
 
 // openJournal reads what an earlier process left and begins a compacted file.
@@ -152,8 +160,9 @@
 		if err != nil {
 			return err
 		}
-		var rec record
-		if !decode(line, &rec) {
+		rec, ok := salvage(line)
+		if !ok {
+			j.damaged++
 			continue
 		}
 		switch m := j.byID[rec.ID]; {
@@ -171,6 +180,22 @@
 	}
 }
 
+// salvage reads a line, or the record at the end of a damaged one: where the end of a line is lost, the record
+// after it still stands whole, behind its own checksum.
+func salvage(line []byte) (rec record, ok bool) {
+	for from := 0; ; {
+		rec = record{}
+		if decode(line[from:], &rec) {
+			return rec, true
+		}
+		next := bytes.Index(line[min(len(line), from+10):], []byte(" {"))
+		if next < 0 {
+			return rec, false
+		}
+		from += 10 + next - 8
+	}
+}
+
 func decode(line []byte, rec *record) bool {
 	if len(line) < 10 {
 		return false
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 )
 
 func openTest(t *testing.T, dir string, budget int64) *journal {
@@ -93,6 +94,63 @@
 	}
 }
 
+// Damage at any byte of a record, its end included, loses no other.
+func TestDamagedJournalLosesNoOtherRecord(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	for _, id := range []string{"a", "b", "c"} {
+		takeTest(t, j, id)
+	}
+	raw, err := os.ReadFile(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := bytes.IndexByte(raw, '\n') + 1
+	second := first + bytes.IndexByte(raw[first:], '\n') + 1
+	for n := first; n < second; n++ {
+		for _, wrong := range []byte{0, '\n', '{', ' ', raw[n] ^ 1} {
+			damaged := bytes.Clone(raw)
+			damaged[n] = wrong
+			if err := os.WriteFile(j.path, damaged, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if again := openTest(t, dir, 1<<20); again.byID["a"] == nil || again.byID["c"] == nil {
+				t.Fatalf("byte %d of the second of three made %q: holds %d", n-first, wrong, len(again.byID))
+			}
+		}
+	}
+}
+
+// Where the record of an attempt is damaged, what is known of a later one is not taken for it.
+func TestDamagedAttemptMayHaveRun(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	m := takeTest(t, j, "a")
+	for n, never := range []bool{false, true} {
+		j.note(m, record{Op: "send", Try: n, Sent: &try{At: time.Duration(n + 1), Endpoint: "s"}})
+		if never {
+			j.note(m, record{Op: "end", Try: n, Never: true})
+		}
+	}
+	if err := j.flush(); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw = bytes.Replace(raw, []byte(`"at":1,`), []byte(`"at":7,`), 1)
+	if err := os.WriteFile(j.path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again := openTest(t, dir, 1<<20)
+	if got := again.byID["a"]; again.damaged != 1 || got == nil || len(got.Tries) != 2 {
+		t.Fatalf("%d damaged, came back as %+v", again.damaged, got)
+	} else if _, may := got.firstRun(); !may {
+		t.Error("an attempt whose record is damaged is taken for one that never ran")
+	}
+}
+
 // Old and new file together stay within the budget, however long it goes on; without room for a message
 // it is refused, and one that ends makes room again.
 func TestJournalStaysWithinItsBudget(t *testing.T) {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -87,6 +87,9 @@
 	if j.failed {
 		log.Warn("the journal can't be written: nothing is taken on until it can", "folder", c.State)
 	}
+	if j.damaged > 0 {
+		log.Warn("the journal holds damaged records", "lines", j.damaged)
+	}
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	return s, nil
 }
@@ -369,7 +372,7 @@
 		switch a := a.(type) {
 		case brain.Send:
 			if m, e := s.messages[a.Message], s.endpoint(a.Endpoint); m != nil && e != nil {
-				s.journal.note(m.stored, record{Op: "send", Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxTryName)], Zone: e.zone}})
+				s.journal.note(m.stored, record{Op: "send", Try: len(m.Tries), Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxTryName)], Zone: e.zone}})
 			}
 		case brain.Refuse:
 			s.close(a.Message, handedBack, http.StatusServiceUnavailable, a.HoldOff)
