Do not count a connection dropped while idle against its destination

A call broken sooner than any was ever served there, on a connection that had been idle, was booked as a failure of the destination and repeated after a pause only. The sender tells how long the connection had been idle and closes those idle for longer; the module repeats at once what may be repeated.

--- a/brain/api.go
+++ b/brain/api.go
@@ -122,6 +122,7 @@
 	Endpoint EndpointID
 	Outcome  Outcome
 	Elapsed  time.Duration // since it was sent
+	Idle     time.Duration // the connection had been without a call for so long; 0 for a fresh one or if unknown
 	Over     bool          // the message needs no further answer
 	Wait     time.Duration // with Refused: told to send nothing for so long; 0 if nothing was told
 	Reported bool          // Left and Limit were reported
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -2,7 +2,7 @@
 
 // The decisions of a sender, top to bottom: constants, oracle, window and health, Step and its timer,
 // admission and ordering, choice, outcomes. The interface (settings, events, actions) is in api.go.
-// docs/design.md tells what is the paper's, what is ours, and when each departure acts.
+// The operators' design page tells what is the paper's and what is ours.
 
 import (
 	"math"
@@ -756,7 +756,10 @@
 	if e.Wait > 0 { // each outcome of a shared call may tell a later end
 		a.route.closedUntil = max(a.route.closedUntil, b.now+e.Wait+time.Millisecond)
 	}
-	if !a.booked && e.Outcome != NotSent {
+	// Broken sooner than any call was served, on a connection that had been idle: that was dropped meanwhile,
+	// and tells nothing of the destination. The call may have run, but its repeat need not wait.
+	dropped := e.Outcome == Broken && e.Idle > 0 && e.Elapsed < a.route.quickest
+	if !a.booked && e.Outcome != NotSent && !dropped {
 		a.booked = true
 		b.judge(m, a, e)
 	}
@@ -775,7 +778,7 @@
 	}
 	if m.out == 0 {
 		m.dest.waiting = append(m.dest.waiting, m)
-		if e.Outcome != TimedOut {
+		if e.Outcome != TimedOut && !dropped {
 			m.notBefore = b.now + retryPause<<min(len(m.attempts)-1, 4)
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -753,6 +753,35 @@
 	}
 }
 
+// A call broken at once on a connection that had been idle is no failure of the destination, and what may be
+// repeated goes again without a pause.
+func TestDroppedConnectionIsNoFailure(t *testing.T) {
+	for class, again := range map[int]bool{0: true, 1: true, 2: false} {
+		r := newRig(t, settings())
+		r.serve(20, 0, 30*ms)
+		route := r.b.dests[0].shared
+		fails, bad := route.fails, route.bad
+		s := r.step(r.message(class, 0, 0))
+		r.now += ms
+		e := r.end(s[0], Broken)
+		e.Idle = 100 * ms
+		if sends := r.step(e); (len(sends) == 1) != again || r.failed[s[0].Message] == again {
+			t.Errorf("class %d: sent %v, failed %v", class, sends, r.failed[s[0].Message])
+		}
+		if route.fails != fails || route.bad != bad {
+			t.Errorf("class %d: counted as a failure", class)
+		}
+		// One that broke after the time of a call was the destination's.
+		s = r.step(r.message(0, 0, 0))
+		r.now += 100 * ms
+		e = r.end(s[0], Broken)
+		e.Idle = 100 * ms
+		if sends := r.step(e); len(sends) != 0 || route.fails <= fails {
+			t.Errorf("a late break is no failure: %v", sends)
+		}
+	}
+}
+
 // With few slots, hung destinations got the slots taken back from them again and again.
 func TestSlotsGoToDestinationsThatAnswer(t *testing.T) {
 	r := newRig(t, settings())
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -41,11 +41,12 @@
 	net.Conn
 	r     *bufio.Reader
 	addr  string
-	since time.Time   // it has been idle
-	calls int         // written on it
-	room  int         // bytes that the answer may still take
-	first []byte      // of the answer that is being read
-	stop  func() bool // lets go of the context of the call; false if that has cut it off
+	since time.Time     // it has been idle
+	calls int           // written on it
+	idle  time.Duration // how long it had been so before the present call
+	room  int           // bytes that the answer may still take
+	first []byte        // of the answer that is being read
+	stop  func() bool   // lets go of the context of the call; false if that has cut it off
 }
 
 func (c *conn) drop() {
@@ -104,6 +105,7 @@
 		p.idle.Add(-1)
 		if c.addr == addr && time.Since(c.since) < p.keep && quiet(c.Conn) {
 			e.mu.Unlock()
+			c.idle = time.Since(c.since)
 			return c, nil
 		}
 		c.Close()
@@ -217,6 +219,9 @@
 	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, error) {
 		return request(addr, "/hook", "", m, m.Body, timeout)
 	})
+	if c != nil {
+		end.Idle = c.idle
+	}
 	if resp == nil {
 		end.Outcome, end.Over = outcome, outcome == brain.Served
 		return end
@@ -225,7 +230,7 @@
 	// A first line of 200 is true whatever follows. Any other answer counts only if it comes whole: that a call
 	// never ran is not to be taken from half an answer.
 	if _, whole := p.rest(e, c, resp); !whole && end.Outcome != brain.Served {
-		end = brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait}
+		end = brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait, Idle: end.Idle}
 	}
 	return end
 }
@@ -261,6 +266,9 @@
 		}
 		return request(addr, "/hook/batch", "application/json", record{}, body, timeout)
 	})
+	if c != nil {
+		end.Idle = c.idle
+	}
 	if resp == nil {
 		if outcome == brain.Served { // a first line alone tells of no message how it fared
 			outcome = brain.Broken
@@ -272,7 +280,7 @@
 	body, whole := p.rest(e, c, resp)
 	switch {
 	case !whole:
-		return all(brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait})
+		return all(brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait, Idle: end.Idle})
 	case resp.StatusCode == http.StatusOK:
 	case resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusRequestEntityTooLarge:
 		end.Outcome = brain.NotSent // by the protocol none of them has run
@@ -309,7 +317,8 @@
 }
 
 // exchange writes one request and reads the head of its answer. Without an answer that can be read it closes
-// the connection and tells the outcome: Served if the first line says so.
+// the connection, which it returns if the request was written, and tells the outcome: Served if the first line
+// says so.
 func (p *pool) exchange(ctx context.Context, e *endpoint, render func(addr string) ([]byte, error)) (*http.Response, *conn, brain.Outcome) {
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
 	c, err := p.get(ctx, e)
@@ -334,9 +343,11 @@
 	c.drop()
 	switch {
 	case c.saysServed():
-		return nil, nil, brain.Served
+		return nil, c, brain.Served
+	case c.idle > 0 && ctx.Err() == nil && len(c.first) == 0:
+		p.closeIdle(e, c.idle) // those idle for longer were dropped by the other side as well
 	}
-	return nil, nil, unread(ctx)
+	return nil, c, unread(ctx)
 }
 
 // unread is the outcome of a call whose answer did not come whole: it may have run.
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -102,6 +102,45 @@
 	}
 }
 
+// A connection dropped while idle shows at the next call, which may have run. The module hears that the connection
+// had been idle, and those idle for longer are not tried.
+func TestDroppedIdleConnection(t *testing.T) {
+	both, answer := make(chan struct{}, 2), make(chan struct{})
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		if c.Body == "again" && c.Conn <= 2 {
+			return st.Reset(c, nc)
+		}
+		if c.Conn <= 2 {
+			both <- struct{}{}
+			<-answer // two connections are needed
+		}
+		return st.Status(200)(c, nc)
+	})
+	p, at := testPool(), &endpoint{addr: e.Addr}
+	served := make(chan brain.AttemptEnd, 2)
+	for range 2 {
+		go func() { served <- callOnce(p, at, st.Wait, "") }()
+	}
+	for range 2 {
+		st.Receive(t, both)
+	}
+	close(answer)
+	for range 2 {
+		if got := st.Receive(t, served); got.Idle != 0 || !got.Over {
+			t.Errorf("on a fresh connection: %+v", got)
+		}
+	}
+	if got := callOnce(p, at, st.Wait, "again"); got.Outcome != brain.Broken || got.Idle <= 0 {
+		t.Errorf("on a dropped connection: %+v", got)
+	}
+	if n := p.idle.Load(); n != 0 {
+		t.Errorf("%d idle connections are left", n)
+	}
+	if got := callOnce(p, at, st.Wait, "again"); !got.Over || got.Idle != 0 {
+		t.Errorf("the next call: %+v", got)
+	}
+}
+
 // Messages that share a call share its fate, unless the answer tells how each one fared.
 func TestSharedOutcomes(t *testing.T) {
 	each := func(outcomes ...brain.Outcome) (ends []brain.AttemptEnd) {
