Answer HEALTH and DUMP at the admin address, each figure counted where it happens

What is untrue yet are the counts of SIGHUP and those of the classes that a settings change adds, which the sender does not know. The module only tells how many endpoints it avoids.

--- a/brain/state.go
+++ b/brain/state.go
@@ -237,6 +237,19 @@
 	d.endpoints = append(d.endpoints, e)
 }
 
+// Avoided is how many listed endpoints get no traffic now but single calls that look whether they answer again.
+func (b *Brain) Avoided() int {
+	n := 0
+	for _, d := range b.order {
+		for _, e := range d.endpoints {
+			if e.route.state == out {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func without[T comparable](list []T, x T) []T {
 	for i, y := range list {
 		if y == x {
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -29,6 +29,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string
+	Admin     string // where operators call; empty for nowhere
 	State     string // the folder that outlasts the process
 	Seed      uint64
 	Limits    Limits
@@ -59,6 +60,14 @@
 			return nil, fmt.Errorf("configuration: %s is not set", name)
 		}
 	}
+	if v := getenv("EDGE_ADMIN_ADDR"); v != "" {
+		c.Admin = v
+	}
+	if c.Admin != "" {
+		if _, _, err := net.SplitHostPort(c.Admin); err != nil {
+			return nil, fmt.Errorf("configuration: admin_addr: %w", err)
+		}
+	}
 	return c, nil
 }
 
@@ -84,6 +93,7 @@
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Admin     string          `json:"admin_addr"`
 		State     string          `json:"state"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -97,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, State: file.State,
+	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, State: file.State,
 		Limits: file.Limits, Known: file.Known, Settings: settings.Translate(env),
 		Kinds: env.List("models"), Zones: env.List("zones"), Fields: env.List("telemetry.fields"),
 		ConnectTimeout: settings.Span(env.Float("limits.connectTimeout"))}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -31,6 +31,7 @@
 	id     string
 	zone   int
 	most   int // messages in one call
+	listed bool
 
 	mu   sync.Mutex
 	addr string
@@ -85,6 +86,7 @@
 	most           int64         // idle ones kept in all: the descriptors are few
 	idle           atomic.Int64
 	fields         []string
+	forwarded      func(messages int) // called when a call is written whole
 	dialer         net.Dialer
 }
 
@@ -92,7 +94,7 @@
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
 	return &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10,
-		most: int64(max(2, c.Limits.Sockets/4)), fields: c.Fields}
+		most: int64(max(2, c.Limits.Sockets/4)), fields: c.Fields, forwarded: func(int) {}}
 }
 
 // get takes the idle connection used last, or opens one.
@@ -216,7 +218,7 @@
 // counts each call whose last byte has come. ctx ends it early, its deadline being the time-out.
 func (p *pool) call(ctx context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
 	end := brain.AttemptEnd{Endpoint: e.number}
-	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, error) {
+	resp, c, outcome := p.exchange(ctx, e, 1, func(addr string) ([]byte, error) {
 		return request(addr, "/hook", "", m, m.Body, timeout)
 	})
 	if c != nil {
@@ -252,7 +254,7 @@
 		return ends
 	}
 	end := brain.AttemptEnd{Endpoint: e.number}
-	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, error) {
+	resp, c, outcome := p.exchange(ctx, e, len(items), func(addr string) ([]byte, error) {
 		parts := make([]part, len(items))
 		for i, it := range items {
 			parts[i] = part{it.ID, it.Key, it.Body}
@@ -319,7 +321,7 @@
 // exchange writes one request and reads the head of its answer. Without an answer that can be read it closes
 // the connection, which it returns if the request was written, and tells the outcome: Served if the first line
 // says so.
-func (p *pool) exchange(ctx context.Context, e *endpoint, render func(addr string) ([]byte, error)) (*http.Response, *conn, brain.Outcome) {
+func (p *pool) exchange(ctx context.Context, e *endpoint, messages int, render func(addr string) ([]byte, error)) (*http.Response, *conn, brain.Outcome) {
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
 	c, err := p.get(ctx, e)
 	if err != nil {
@@ -334,6 +336,7 @@
 		c.drop()
 		return nil, nil, brain.ConnectFailed
 	}
+	p.forwarded(messages)
 	c.calls++
 	c.first, c.room = c.first[:0], maxAnswer
 	resp, err := answer(c.r)
@@ -425,6 +428,15 @@
 type endpoints struct {
 	byID     map[string]*endpoint
 	byNumber []*endpoint
+	listed   int // lines that the list holds now
+}
+
+// clear forgets what is listed: a whole list says it anew.
+func (l *endpoints) clear() {
+	for _, e := range l.byNumber {
+		e.listed = false
+	}
+	l.listed = 0
 }
 
 func (l *endpoints) number(n brain.EndpointID) (*endpoint, error) {
@@ -448,6 +460,14 @@
 		e.most = max(1, c.Settings.Kinds[kind].PerCall)
 	}
 	ready := t.State == "SERVING"
+	if listed := t.State != "DELETED"; listed != e.listed {
+		e.listed = listed
+		if listed {
+			l.listed++
+		} else {
+			l.listed--
+		}
+	}
 	e.mu.Lock()
 	if t.Addr != "" {
 		e.addr = t.Addr
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"dockshift.example/dockshift/brain"
@@ -50,20 +51,22 @@
 	list    endpoints
 	disc    *discovery
 	server  *server
-
-	events   chan any
-	asked    chan struct{}
-	notices  chan []notice
-	owed     []notice // to be told
-	telling  bool     // a batch of them is out
-	messages map[brain.MessageID]*message
-	byID     map[string]*message
-	last     brain.MessageID
-	held     int // messages taken on that have not ended
-	out      int // calls out
-	shared   int // messages so far that went along in another's call
-	alarm    *time.Timer
-	quitting bool // no more steps: what comes in is only written down
+	figures *figures
+
+	events    chan any
+	asked     chan struct{}
+	notices   chan []notice
+	owed      []notice // to be told
+	telling   bool     // a batch of them is out
+	messages  map[brain.MessageID]*message
+	byID      map[string]*message
+	last      brain.MessageID
+	held      int // messages taken on that have not ended
+	out       int // calls out
+	shared    int // messages so far that went along in another's call
+	alarm     *time.Timer
+	unwritten atomic.Bool // the journal's last write failed
+	quitting  bool        // no more steps: what comes in is only written down
 
 	grace, leaveAfter time.Duration
 }
@@ -80,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c),
+	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c), figures: newFigures(c.Classes),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
@@ -90,6 +93,7 @@
 	if j.damaged > 0 {
 		log.Warn("the journal holds damaged records", "lines", j.damaged)
 	}
+	s.pool.forwarded = s.figures.forwarded
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	return s, nil
 }
@@ -109,6 +113,9 @@
 func (s *Sender) Run(ctx context.Context, listen func() (net.Listener, error)) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	if s.c.Admin != "" {
+		go newAdmin(s.log, s.health, s.figures.dump).run(work, s.c.Admin)
+	}
 	known := s.c.Known.Version
 	if len(s.c.Known.Servers) == 0 {
 		known = -1
@@ -142,6 +149,7 @@
 		case <-s.alarm.C:
 			s.turn(work, brain.Alarm{})
 		case <-idle.C:
+			s.publish()
 			for _, e := range s.list.byNumber {
 				s.pool.closeIdle(e, s.pool.keep)
 			}
@@ -228,6 +236,7 @@
 	if s.quitting {
 		s.flush()
 		s.tell()
+		s.publish()
 		return
 	}
 	s.step(ctx, events)
@@ -272,6 +281,7 @@
 // has not been sent, so its client may come again.
 func (s *Sender) submitted(sub submission) brain.Event {
 	refuse := func(why string) brain.Event {
+		s.figures.declined(sub.Class)
 		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, why}
 		return nil
 	}
@@ -319,6 +329,7 @@
 		switch {
 		case e.Outcome == brain.Served:
 			s.end(m, record{How: delivered})
+			s.figures.succeeded(m.Class)
 		case e.Over:
 			s.end(m, record{How: answered})
 		default:
@@ -349,6 +360,9 @@
 
 func (s *Sender) news(t Targets, whole bool) brain.Event {
 	news := brain.ListNews{Whole: whole}
+	if whole {
+		s.list.clear()
+	}
 	for _, line := range t.Servers {
 		news.Endpoints = append(news.Endpoints, s.list.line(line, s.c, s.pool))
 	}
@@ -358,6 +372,7 @@
 // flush writes the journal. What fails here fails again at the next message, which is refused.
 func (s *Sender) flush() bool {
 	err := s.journal.flush()
+	s.unwritten.Store(s.journal.failed)
 	if err != nil {
 		s.log.Warn("journal", "err", err)
 	}
@@ -409,6 +424,27 @@
 	}
 	s.send(ctx, now, sends, written)
 	s.tell()
+	s.publish()
+}
+
+// publish stores the gauges where they can be read without the loop.
+func (s *Sender) publish() {
+	s.figures.set(gauges{s.held, s.list.listed, s.brain.Avoided()})
+}
+
+// health tells why the process is not ready to serve, nil if it is. It may be called from anywhere.
+func (s *Sender) health() error {
+	switch {
+	case !s.server.ready.Load():
+		return errors.New("starting")
+	case s.server.closing.Load():
+		return errors.New("leaving")
+	case s.unwritten.Load():
+		return errors.New("the journal cannot be written")
+	case time.Since(s.figures.lastBeat()) > beatMost:
+		return errors.New("the loop is stuck")
+	}
+	return nil
 }
 
 // Reload takes over from a new configuration what may change in service: the platform's address.
@@ -452,6 +488,11 @@
 	if m == nil || m.ended {
 		return
 	}
+	if how == handedBack {
+		s.figures.declined(m.Class)
+	} else {
+		s.figures.aborted(m.Class)
+	}
 	if s.reply(m, answerLine{status, hold, how}) {
 		s.end(m, record{How: answered})
 	} else {
