--- a/brain/api.go
+++ b/brain/api.go
@@ -98,6 +98,15 @@
 	MayRun   bool          // one of them may have run
 	FirstRun time.Duration // and was sent at this clock time, the first of those that may have
 	RanZone  int           // to this zone
+	Out      *Out          // an attempt that is out, after those; the list must have named its endpoint
+}
+
+// Out is an attempt that another process of the same sender has out. It ends by an AttemptEnd with number 0.
+type Out struct {
+	Endpoint EndpointID
+	Call     uint64 // attempts that travel in one call have the same
+	Sent     time.Duration
+	Timeout  time.Duration
 }
 
 // Outcome is how an attempt ended.
--- a/brain/state.go
+++ b/brain/state.go
@@ -168,10 +168,11 @@
 	tenants   []tenant
 	tenantsAt time.Duration
 	askAt     time.Duration
-	idle      []*endpoint     // perhaps with an idle connection
-	keep      []time.Duration // how long to keep those, by kind of destination
-	started   time.Duration   // first batch
-	came      fading          // messages taken
+	idle      []*endpoint      // perhaps with an idle connection
+	keep      []time.Duration  // how long to keep those, by kind of destination
+	started   time.Duration    // first batch
+	came      fading           // messages taken
+	adopted   map[uint64]*call // calls that another process had out
 }
 
 // New makes the decisions of one sender that knows nothing yet but its settings.
@@ -333,7 +334,11 @@
 		mayRun: msg.MayRun, firstRun: msg.FirstRun, ranZone: msg.RanZone}
 	b.byID[m.ID] = m
 	b.held = append(b.held, m)
-	m.dest.waiting = append(m.dest.waiting, m)
+	if msg.Out != nil && b.endpoints[msg.Out.Endpoint] != nil {
+		b.adopt(m, msg.Out)
+	} else {
+		m.dest.waiting = append(m.dest.waiting, m)
+	}
 	b.came.add(b.now, arrivalSpan)
 	if m.class.Ordered && m.Key != 0 {
 		if m.turn = b.turns[m.Key]; m.turn == nil {
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -44,6 +43,10 @@
 	if c.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.Limits.MemoryMB * 1e6 * memoryPart))
 	}
+	listen, err := c.Listener()
+	if err != nil {
+		return err
+	}
 	s, err := sender.New(c, log)
 	if err != nil {
 		return err
@@ -60,7 +63,7 @@
 			}
 		}
 	}()
-	return s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", c.Listen) })
+	return s.Run(ctx, listen)
 }
 
 // reload heeds SIGHUP. With a file that cannot be used the sender goes on as it is.
--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -42,15 +44,58 @@
 	}
 }
 
-// start runs a sender and waits until it is ready.
-func start(t *testing.T, p *st.Platform, state string) *process {
+// freeAddr is an address that nobody listens on.
+func freeAddr(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := l.Addr().String()
-	l.Close()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a sender and waits until it is ready.
+func start(t *testing.T, p *st.Platform, state string) *process {
+	t.Helper()
+	c := launch(t, p, state, freeAddr(t), nil)
+	for end := time.Now().Add(st.Wait); ; time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + c.addr + "/-/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return c
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("the sender does not become ready")
+		}
+	}
+}
+
+// startBeside runs a sender on a socket that it inherits and waits until it says yes at the operators' address.
+func startBeside(t *testing.T, p *st.Platform, state, addr string, socket *os.File) *process {
+	t.Helper()
+	admin := freeAddr(t)
+	c := launch(t, p, state, addr, socket, "EDGE_PASSED_SOCKET=3", "EDGE_ADMIN_ADDR="+admin)
+	for end := time.Now().Add(st.Wait); ; time.Sleep(10 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", admin); err == nil {
+			io.WriteString(conn, "HEALTH\n")
+			reply, _ := io.ReadAll(conn)
+			conn.Close()
+			if string(reply) == "ok\n" {
+				return c
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("the sender does not say yes")
+		}
+	}
+}
+
+// launch starts a sender's process.
+func launch(t *testing.T, p *st.Platform, state, addr string, socket *os.File, env ...string) *process {
+	t.Helper()
 	raw, err := json.Marshal(st.Config(p, state))
 	if err != nil {
 		t.Fatal(err)
@@ -61,23 +106,16 @@
 	}
 	c := &process{exec.Command(os.Args[0]), addr, config}
 	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+config, "EDGE_LISTEN="+addr, "EDGE_STATE="+state)
+	c.Env = append(c.Env, env...)
+	if socket != nil {
+		c.ExtraFiles = []*os.File{socket}
+	}
 	c.Stderr = os.Stderr
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Process.Kill(); c.Wait() })
-	for end := time.Now().Add(st.Wait); ; time.Sleep(10 * time.Millisecond) {
-		resp, err := http.Get("http://" + addr + "/-/ready")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return c
-			}
-		}
-		if time.Now().After(end) {
-			t.Fatal("the sender does not become ready")
-		}
-	}
+	return c
 }
 
 // What was taken on outlasts a kill: a message whose call was out goes out again with its id, key and body
@@ -182,6 +220,83 @@
 	}
 }
 
+// A second process is started beside the first, and a third beside that; the platform holds the clients' socket.
+// Clients on a connection each find one at any moment, whether the process before leaves on SIGTERM or is killed,
+// and what it had out is sent again only once it is gone.
+func TestUpgradeByProcesses(t *testing.T) {
+	silent := st.NewEndpoint(t, st.Silent)
+	good := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, good.Addr, silent.Addr)
+	state := t.TempDir()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	addr := l.Addr().String()
+
+	stop, stopped, taken := make(chan struct{}), make(chan struct{}), 0
+	var between sync.Mutex // held while a request is under way: a kill cuts off those on the dead one's connections
+	one := startBeside(t, p, state, addr, socket)
+	client := &http.Client{Timeout: st.Wait, Transport: &http.Transport{DisableKeepAlives: true}}
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			between.Lock()
+			resp, err := client.Do(st.Message(t, addr, "m"+strconv.Itoa(taken), "unsafe", 0, 15*time.Second, "x"))
+			if err != nil {
+				t.Errorf("message %d: %v", taken, err)
+				between.Unlock()
+				return
+			}
+			resp.Body.Close()
+			between.Unlock()
+			if resp.StatusCode != http.StatusAccepted {
+				t.Errorf("message %d: %s", taken, resp.Status)
+				return
+			}
+			taken++
+			<-good.Calls
+		}
+	}()
+	st.HandIn(t, addr, "out", "safe", 1, 15*time.Second)
+	silent.Next(t)
+	two := startBeside(t, p, state, addr, socket)
+	if err := one.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := one.Wait(); err != nil {
+		t.Errorf("the first leaves with %v", err)
+	}
+	if c := silent.Next(t); c.ID != "out" {
+		t.Errorf("sent again: %+v", c)
+	}
+	startBeside(t, p, state, addr, socket)
+	between.Lock()
+	two.Process.Kill()
+	two.Wait()
+	between.Unlock()
+	if c := silent.Next(t); c.ID != "out" {
+		t.Errorf("sent again: %+v", c)
+	}
+	close(stop)
+	<-stopped
+	st.HandIn(t, addr, "last", "unsafe", 0, 15*time.Second)
+	if c := good.Next(t); c.ID != "last" {
+		t.Errorf("the endpoint got %s", c.ID)
+	}
+}
+
 // SIGHUP moves the sender to the platform's new address, for the list and for notices. A file that cannot be
 // used is a line in the log and nothing more.
 func TestReload(t *testing.T) {
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -30,6 +30,7 @@
 	Listen    string // where clients connect
 	Discovery string
 	Admin     string // where operators call; empty for nowhere
+	Passed    int    // descriptor of the clients' socket where the platform holds it, 0 where it does not
 	State     string // the folder that outlasts the process
 	Seed      uint64
 	Limits    Limits
@@ -60,6 +61,11 @@
 			return nil, fmt.Errorf("configuration: %s is not set", name)
 		}
 	}
+	if v := getenv("EDGE_PASSED_SOCKET"); v != "" {
+		if c.Passed, err = strconv.Atoi(v); err != nil || c.Passed < 3 {
+			return nil, fmt.Errorf("configuration: EDGE_PASSED_SOCKET %q is not a descriptor", v)
+		}
+	}
 	if v := getenv("EDGE_ADMIN_ADDR"); v != "" {
 		c.Admin = v
 	}
@@ -71,6 +77,21 @@
 	return c, nil
 }
 
+// Listener gives the clients' listener, as often as it is called: the inherited socket, which stays open in the
+// platform's hands whatever is closed here, or else one of our own.
+func (c *Config) Listener() (func() (net.Listener, error), error) {
+	if c.Passed == 0 {
+		return func() (net.Listener, error) { return net.Listen("tcp", c.Listen) }, nil
+	}
+	f := os.NewFile(uintptr(c.Passed), "clients")
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: EDGE_PASSED_SOCKET: %w", err)
+	}
+	l.Close()
+	return func() (net.Listener, error) { return net.FileListener(f) }, nil
+}
+
 // ReloadConfig reads the file again. Here it wins, as the variables are those of the start.
 func ReloadConfig(getenv func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -32,6 +32,7 @@
 	zone   int
 	most   int // messages in one call
 	listed bool
+	target Target // as last told
 
 	mu   sync.Mutex
 	addr string
@@ -85,6 +86,7 @@
 	keep           time.Duration // how long an idle one is kept
 	most           int64         // idle ones kept in all: the descriptors are few
 	idle           atomic.Int64
+	leaving        atomic.Bool // none is kept any more
 	fields         []string
 	forwarded      func(messages int) // called when a call is written whole
 	dialer         net.Dialer
@@ -148,7 +150,7 @@
 func (p *pool) put(e *endpoint, c *conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if c.addr != e.addr || p.idle.Load() >= p.most {
+	if c.addr != e.addr || p.leaving.Load() || p.idle.Load() >= p.most {
 		c.Close()
 		return
 	}
@@ -434,7 +436,7 @@
 // clear forgets what is listed: a whole list says it anew.
 func (l *endpoints) clear() {
 	for _, e := range l.byNumber {
-		e.listed = false
+		e.listed, e.target.State = false, "DELETED"
 	}
 	l.listed = 0
 }
@@ -454,6 +456,10 @@
 		l.byID[t.ID] = e
 		l.byNumber = append(l.byNumber, e)
 	}
+	if t.Addr == "" {
+		t.Addr = e.target.Addr
+	}
+	e.target = t
 	e.zone, e.most = place(c.Zones, t.Zone, 0), 1
 	kind := place(c.Kinds, t.Kind, 0)
 	if kind < len(c.Settings.Kinds) {
--- /dev/null
+++ b/internal/sender/handover.go
@@ -0,0 +1,533 @@
+package sender
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"dockshift.example/dockshift/brain"
+)
+
+// An upgrade: a second process starts while the first serves. At any moment one of them, the holder of the lock
+// on the state folder, owns the journal and lets its module decide. A newcomer that finds the lock held asks the
+// holder over a Unix socket. That stops accepting, closes the journal, frees the lock and sends its estate. Its
+// calls in flight stay where they are; to the newcomer's module they are calls like any other, whose ends the old
+// process reports. Requests that still come on the old one's connections are passed on and answered there.
+
+const (
+	handVersion = 1                      // of the packets; a holder that does not know it keeps what it has
+	askEvery    = 50 * time.Millisecond  // a newcomer looks so often for the lock or its holder
+	handTime    = 2 * time.Second        // for a packet to be written, and for the estate to come
+	linkRoom    = 4096                   // packets on their way to the other process
+	deathTime   = 30 * time.Millisecond  // from the end of a link until the dead one's other sockets are closed, too
+	cutTime     = 250 * time.Millisecond // at the end, for the calls that are cut off to be reported
+)
+
+// packet is what the processes tell one another; each sets one field.
+type packet struct {
+	Hello  *hello       // newcomer: hand over
+	Estate *estate      // holder: here it is
+	Submit *relayed     // old one: a request that came on one of my connections
+	Answer *relayAnswer // newcomer: its answer
+	Ended  *flightEnd   // old one: how an attempt ended
+	Cancel *flightID    // newcomer: call it off
+
+	flush chan struct{} // not sent: closed when all before it has been
+}
+
+type hello struct{ Version int }
+
+// estate is what a process hands over beside the journal.
+type estate struct {
+	ListVersion int64
+	Endpoints   []Target // by the module's number, those that are gone as DELETED
+	Flights     []flight
+	Memory      brain.Memory
+}
+
+// flightID names an attempt: both processes know a message by its id, and its attempts by their place.
+type flightID struct {
+	ID  string
+	Try int
+}
+
+// flight is an attempt that is out.
+type flight struct {
+	ID       flightID
+	Call     uint64 // attempts of one call share it
+	Endpoint brain.EndpointID
+	At       time.Duration
+	Timeout  time.Duration
+}
+
+type flightEnd struct {
+	Flight flightID
+	End    brain.AttemptEnd
+}
+
+type relayed struct {
+	Seq    uint64
+	Record record
+}
+
+type relayAnswer struct {
+	Seq    uint64
+	Status int
+	Retry  time.Duration
+	Text   string
+}
+
+// link is the connection to the other process.
+type link struct {
+	conn net.Conn
+	out  chan packet
+	once sync.Once
+	gone chan struct{}
+}
+
+type (
+	// helloEvent: a newcomer asks for the estate.
+	helloEvent struct{ *link }
+	// linkEvent: the other process says something; with lost it is dead, or its connection is.
+	linkEvent struct {
+		link *link
+		packet
+		lost bool
+	}
+	// lockEvent: the lock that another held is ours again.
+	lockEvent struct{ lock *os.File }
+)
+
+func newLink(c net.Conn) *link {
+	l := &link{conn: c, out: make(chan packet, linkRoom), gone: make(chan struct{})}
+	go func() {
+		enc := gob.NewEncoder(c)
+		for {
+			select {
+			case p := <-l.out:
+				if p.flush != nil {
+					close(p.flush)
+					continue
+				}
+				c.SetWriteDeadline(time.Now().Add(handTime))
+				if enc.Encode(p) != nil {
+					l.close()
+					return
+				}
+			case <-l.gone:
+				return
+			}
+		}
+	}()
+	return l
+}
+
+// send never waits: a process that takes nothing in is as good as dead.
+func (l *link) send(p packet) {
+	select {
+	case l.out <- p:
+	default:
+		l.close()
+	}
+}
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.gone)
+		l.conn.Close()
+	})
+}
+
+// drain waits until what was sent is on its way, or has had its time.
+func (l *link) drain() {
+	done := make(chan struct{})
+	l.send(packet{flush: done})
+	select {
+	case <-done:
+	case <-l.gone:
+	case <-time.After(cutTime):
+	}
+	l.close()
+}
+
+// listen passes on what the other process says, and then that it is gone.
+func (l *link) listen(dec *gob.Decoder, post func(any)) {
+	for {
+		var p packet
+		if err := dec.Decode(&p); err != nil {
+			break
+		}
+		post(linkEvent{link: l, packet: p})
+	}
+	l.close()
+	time.Sleep(deathTime)
+	post(linkEvent{link: l, lost: true})
+}
+
+// lockFolder takes the lock on the state folder; nil if another process holds it.
+func lockFolder(dir string) (*os.File, error) {
+	f, err := os.Open(dir)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err == nil {
+		return f, nil
+	}
+	f.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, nil
+	}
+	return nil, err
+}
+
+// socketAt calls use with the path of the holder's socket. It stands in the temporary folder, as what stands in
+// the state folder is kept and counted. A socket's path is short, so a long one is reached through its folder.
+func socketAt(state string, use func(path string) error) error {
+	if abs, err := filepath.Abs(state); err == nil {
+		state = abs
+	}
+	h := fnv.New64a()
+	h.Write([]byte(state))
+	dir, err := os.Open(os.TempDir())
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return use(fmt.Sprintf("/proc/self/fd/%d/saffronyard-%016x.sock", dir.Fd(), h.Sum64()))
+}
+
+// askHolder asks the lock's holder for its estate.
+func askHolder(ctx context.Context, state string) (*link, *gob.Decoder, *estate, error) {
+	var c net.Conn
+	err := socketAt(state, func(path string) (err error) {
+		c, err = (&net.Dialer{Timeout: handTime}).DialContext(ctx, "unix", path)
+		return err
+	})
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	l := newLink(c)
+	l.send(packet{Hello: &hello{handVersion}})
+	dec := gob.NewDecoder(c)
+	var p packet
+	c.SetReadDeadline(time.Now().Add(handTime))
+	if err := dec.Decode(&p); err != nil || p.Estate == nil {
+		l.close()
+		return nil, nil, nil, fmt.Errorf("the holder's estate: %w", errors.Join(err, errors.New("nothing came")))
+	}
+	c.SetReadDeadline(time.Time{})
+	return l, dec, p.Estate, nil
+}
+
+// own waits until this process holds the lock, and opens the journal: at once if nobody holds it, else from its
+// holder or, if that dies, after it. The estate is nil unless the holder gave one.
+func (s *Sender) own(ctx context.Context) (*estate, error) {
+	var st *estate
+	var from *link
+	for told := false; ; {
+		lock, err := lockFolder(s.c.State)
+		if err != nil {
+			s.log.Warn("the state folder cannot be locked: an upgrade will not be noticed", "err", err)
+		}
+		if lock != nil || err != nil {
+			s.lock = lock
+			break
+		}
+		if from == nil {
+			l, dec, e, err := askHolder(ctx, s.c.State)
+			if err == nil {
+				from, st, s.predecessor = l, e, l
+				s.inbox = dec
+				continue
+			}
+			if !told {
+				told = true
+				s.log.Info("another process holds the state folder", "err", err)
+			}
+		}
+		select {
+		case <-time.After(askEvery):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return st, s.openJournal()
+}
+
+// awaitSuccessor listens for a newcomer, until ctx ends. It is called with the lock held, so what stands at the
+// path is left from another time.
+func (s *Sender) awaitSuccessor(ctx context.Context) {
+	if s.lock == nil {
+		return
+	}
+	var l net.Listener
+	err := socketAt(s.c.State, func(path string) (err error) {
+		os.Remove(path)
+		l, err = net.Listen("unix", path)
+		return err
+	})
+	if err != nil {
+		s.log.Warn("no socket for an upgrade", "err", err)
+		return
+	}
+	l.(*net.UnixListener).SetUnlinkOnClose(false) // by then it may be another's
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	defer l.Close()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		dec := gob.NewDecoder(c)
+		var p packet
+		c.SetReadDeadline(time.Now().Add(handTime))
+		if err := dec.Decode(&p); err != nil || p.Hello == nil || p.Hello.Version != handVersion {
+			s.log.Warn("a newcomer that is not understood", "err", err)
+			c.Close()
+			continue
+		}
+		c.SetReadDeadline(time.Time{})
+		link := newLink(c)
+		s.post(ctx, helloEvent{link})
+		go link.listen(dec, func(e any) { s.post(ctx, e) })
+	}
+}
+
+// flights is every attempt out, with its message in the journal.
+func (s *Sender) flights() []flight {
+	var list []flight
+	for _, m := range s.messages {
+		for attempt, c := range m.calls {
+			if try := m.base + attempt; !m.ended && try < len(m.Tries) {
+				list = append(list, flight{flightID{m.ID, try}, c.number, c.endpoint, m.Tries[try].At, c.timeout})
+			}
+		}
+	}
+	return list
+}
+
+// handOver gives all up to a newcomer, between two steps.
+func (s *Sender) handOver(to *link) {
+	s.heir, s.handed = to, true
+	s.server.closing.Store(true)
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	s.pool.leaving.Store(true)
+	for _, e := range s.list.byNumber {
+		s.pool.closeIdle(e, 0)
+	}
+	st := &estate{ListVersion: s.listVersion, Flights: s.flights(), Memory: s.brain.Remember()}
+	for _, e := range s.list.byNumber {
+		st.Endpoints = append(st.Endpoints, e.target)
+	}
+	s.memory = st.Memory
+	s.log.Info("handing over", "held", s.held, "calls", len(st.Flights))
+	s.journal.flush()
+	s.journal.compact() // the successor reads it while clients wait; where it fails, the longer file says the same
+	if err := s.journal.close(); err != nil {
+		s.log.Warn("journal", "err", err)
+	}
+	s.journal = nil
+	s.held, s.owed = 0, nil
+	s.alarm.Stop()
+	if s.lock != nil {
+		s.lock.Close() // and frees it
+		s.lock = nil
+	}
+	to.send(packet{Estate: st})
+}
+
+// relay handles an event after the hand-over: nothing is decided here any more.
+func (s *Sender) relay(ctx context.Context, e any) {
+	switch e := e.(type) {
+	case submission:
+		s.passOn(e)
+	case callEnd:
+		if e.over {
+			s.out--
+		}
+		for _, end := range e.ends {
+			m := end.message
+			if m.calls[end.attempt] == nil {
+				continue
+			}
+			delete(m.calls, end.attempt)
+			if s.heir != nil {
+				s.heir.send(packet{Ended: &flightEnd{flightID{m.ID, m.base + end.attempt}, end.AttemptEnd}})
+			}
+		}
+	case toldEvent:
+		s.telling = false // the successor tells them once more, which does no harm
+	case listEvent:
+		s.news(e.Targets, e.Full)
+	case failedEvent:
+		if !s.c.Settings.AsksForList {
+			s.ask()
+		}
+	case helloEvent:
+		e.link.close() // who owns the journal now is to be asked
+	case lockEvent:
+		s.regain(ctx, e.lock)
+	case linkEvent:
+		switch {
+		case e.link != s.heir && e.lost:
+			s.predecessorGone(e.link)
+		case e.link != s.heir && e.Submit != nil:
+			s.passOn(s.relayedSubmission(ctx, e.link, e.Submit))
+		case e.link != s.heir && e.Ended != nil:
+			if s.heir != nil {
+				s.heir.send(packet{Ended: e.Ended})
+			}
+		case e.lost:
+			s.heir = nil
+			s.log.Warn("the successor is gone")
+			if !s.quitting {
+				go s.relock(ctx)
+			}
+		case e.Answer != nil:
+			if sub, ok := s.passed[e.Answer.Seq]; ok {
+				delete(s.passed, e.Answer.Seq)
+				sub.answer <- answerLine{e.Answer.Status, e.Answer.Retry, e.Answer.Text}
+			}
+		case e.Cancel != nil:
+			if m := s.byID[e.Cancel.ID]; m != nil {
+				if c := m.calls[e.Cancel.Try-m.base]; c != nil {
+					c.cancel()
+				}
+			}
+		}
+	}
+}
+
+// passOn hands a request to the successor. Without one it waits: if this process takes the lock again, it is ours.
+func (s *Sender) passOn(sub submission) {
+	s.seq++
+	s.passed[s.seq] = sub
+	if s.heir != nil {
+		s.heir.send(packet{Submit: &relayed{s.seq, sub.record}})
+	}
+}
+
+// relayedSubmission is a request that came to the process before this one. Its answer goes back there.
+func (s *Sender) relayedSubmission(ctx context.Context, from *link, r *relayed) submission {
+	sub := submission{record: r.Record, answer: make(chan answerLine, 1)}
+	go func() {
+		select {
+		case a := <-sub.answer:
+			from.send(packet{Answer: &relayAnswer{r.Seq, a.status, a.retry, a.text}})
+		case <-from.gone:
+		case <-ctx.Done():
+		}
+	}()
+	return sub
+}
+
+// predecessorGone ends the attempts that the process before this one had out: they may have run.
+func (s *Sender) predecessorGone(from *link) []itemEnd {
+	var ends []itemEnd
+	for _, m := range s.messages {
+		for attempt, c := range m.calls {
+			if c.at == from {
+				ends = append(ends, itemEnd{m, attempt, brain.AttemptEnd{Endpoint: c.endpoint, Outcome: brain.Broken,
+					Elapsed: max(0, s.clock.now()-m.Tries[m.base+attempt].At)}})
+			}
+		}
+	}
+	if s.predecessor == from {
+		s.predecessor = nil
+	}
+	if !s.handed {
+		return ends
+	}
+	for _, e := range ends {
+		delete(e.message.calls, e.attempt)
+		if s.heir != nil {
+			s.heir.send(packet{Ended: &flightEnd{flightID{e.message.ID, e.message.base + e.attempt}, e.AttemptEnd}})
+		}
+	}
+	return nil
+}
+
+// fromPredecessor takes in what the process before this one says.
+func (s *Sender) fromPredecessor(ctx context.Context, e linkEvent) []brain.Event {
+	switch {
+	case e.lost:
+		return s.callEnded(callEnd{ends: s.predecessorGone(e.link)})
+	case e.Submit != nil:
+		sub := s.relayedSubmission(ctx, e.link, e.Submit)
+		if ev := s.submitted(sub); ev != nil {
+			return []brain.Event{ev}
+		}
+	case e.Ended != nil:
+		if m := s.byID[e.Ended.Flight.ID]; m != nil {
+			return s.callEnded(callEnd{ends: []itemEnd{{m, e.Ended.Flight.Try - m.base, e.Ended.End}}})
+		}
+	}
+	return nil
+}
+
+// relock waits for the lock that a dead successor has left, and gives it to the loop.
+func (s *Sender) relock(ctx context.Context) {
+	for {
+		if lock, err := lockFolder(s.c.State); lock != nil || err != nil {
+			s.post(ctx, lockEvent{lock})
+			return
+		}
+		select {
+		case <-time.After(askEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// regain takes everything up again after the successor's death. What that had out may have run; our own calls
+// are still out.
+func (s *Sender) regain(ctx context.Context, lock *os.File) {
+	st := &estate{Flights: s.flights(), Memory: s.memory}
+	s.lock = lock
+	if err := s.openJournal(); err != nil {
+		s.log.Error("the journal cannot be had again", "err", err)
+		s.journal = nil
+		if lock != nil {
+			lock.Close()
+			s.lock = nil
+		}
+		go func() {
+			time.Sleep(time.Second)
+			s.relock(ctx)
+		}()
+		return
+	}
+	s.handed = false
+	s.brain = brain.New(s.c.Settings, s.c.Seed)
+	s.pool.leaving.Store(false)
+	old := s.byID
+	s.messages, s.byID, s.held = map[brain.MessageID]*message{}, map[string]*message{}, 0
+	s.resume(ctx, st, func(f flight) *outCall { // the calls themselves are ours as before
+		return old[f.ID.ID].calls[f.ID.Try-old[f.ID.ID].base]
+	})
+	s.log.Warn("serving again after the successor's death", "held", s.held)
+	go s.awaitSuccessor(ctx)
+	waiting := s.passed
+	s.passed = map[uint64]submission{}
+	var events []brain.Event
+	for _, sub := range waiting { // the dead one may have taken it on: then it is in the journal
+		events = append(events, s.take(ctx, sub)...)
+	}
+	s.step(ctx, events)
+	if !s.quitting && s.reopen != nil {
+		s.reopen()
+	}
+}
--- /dev/null
+++ b/internal/sender/handover_test.go
@@ -0,0 +1,220 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// platformSocket is a clients' socket that the platform holds: each process listens on its own descriptor of it.
+func platformSocket(t *testing.T) (addr string, listen func() (net.Listener, error)) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close(); l.Close() })
+	return l.Addr().String(), func() (net.Listener, error) { return net.FileListener(f) }
+}
+
+// beside starts a sender on a state folder and a socket that others may use, too; it gives the operators' address
+// and what stops it.
+func beside(t *testing.T, p *st.Platform, state string, listen func() (net.Listener, error)) (admin string, stop func()) {
+	t.Helper()
+	admin = freeAddr(t)
+	s := newTest(t, p, func(c *Config) { c.State, c.Admin = state, admin })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, listen) }()
+	stopped := false
+	stop = func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			if err := st.Receive(t, done); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	t.Cleanup(stop)
+	waitHealth(t, admin, "ok\n")
+	return admin, stop
+}
+
+func waitHealth(t *testing.T, admin, want string) {
+	t.Helper()
+	got := ""
+	for end := time.Now().Add(st.Wait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if got = ask(t, admin, "HEALTH\n"); got == want {
+			return
+		}
+	}
+	t.Fatalf("HEALTH: %q, want %q", got, want)
+}
+
+// gate is an endpoint's script that answers a call when it is let through.
+func gate(open <-chan struct{}) func(st.Call, net.Conn) bool {
+	return func(c st.Call, conn net.Conn) bool {
+		<-open
+		return st.Status(200)(c, conn)
+	}
+}
+
+// handInOn hands a message in on a connection that the client keeps.
+func handInOn(t *testing.T, c net.Conn, r *bufio.Reader, req *http.Request) *http.Response {
+	t.Helper()
+	c.SetDeadline(time.Now().Add(st.Wait))
+	if err := req.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(r, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp
+}
+
+// A second process takes everything over while the first has a call out and a client connected: the call ends
+// once, where the new one counts it; what comes on the old connection is answered there and sent by the new one.
+func TestUpgrade(t *testing.T) {
+	t.Parallel()
+	open := make(chan struct{})
+	slow, quick := st.NewEndpoint(t, gate(open)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, slow.Addr, quick.Addr)
+	state := t.TempDir()
+	addr, listen := platformSocket(t)
+	oldAdmin, stopOld := beside(t, p, state, listen)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	if resp := handInOn(t, c, r, st.Message(t, addr, "out", "unsafe", 0, 15*time.Second, "x")); resp.StatusCode != 202 || resp.Close {
+		t.Fatalf("%s, close %v", resp.Status, resp.Close)
+	}
+	slow.Next(t)
+
+	newAdmin, _ := beside(t, p, state, listen)
+	waitHealth(t, oldAdmin, "fail leaving\n")
+	wantFigures(t, oldAdmin, map[string]int{"outstanding": 0, "forwards": 1})
+	wantFigures(t, newAdmin, map[string]int{"outstanding": 1, "forwards": 0, "discovered": 2})
+	if resp := handInOn(t, c, r, st.Message(t, addr, "late", "unsafe", 1, 15*time.Second, "y")); resp.StatusCode != 202 || !resp.Close {
+		t.Errorf("on the old connection: %s, close %v", resp.Status, resp.Close)
+	}
+	if got := quick.Next(t); got.ID != "late" || got.Body != "y" {
+		t.Errorf("the endpoint got %+v", got)
+	}
+	close(open)
+	wantFigures(t, newAdmin, map[string]int{"outstanding": 0, "succeeded.unsafe": 2, "forwards": 1})
+	wantFigures(t, oldAdmin, map[string]int{"succeeded.unsafe": 0, "forwards": 1})
+	stopOld()
+	st.HandIn(t, addr, "after", "unsafe", 1, 15*time.Second)
+	quick.Next(t)
+	for _, e := range []*st.Endpoint{slow, quick} {
+		select {
+		case again := <-e.Calls:
+			t.Errorf("%s is sent again", again.ID)
+		default:
+		}
+	}
+}
+
+// Calls that the old process still has out when it ends may have run: what may be repeated goes out again, and
+// only then.
+func TestUpgradeCutsCallsOff(t *testing.T) {
+	t.Parallel()
+	silent := st.NewEndpoint(t, st.Silent)
+	p := st.NewPlatform(t, silent.Addr, silent.Addr)
+	state := t.TempDir()
+	addr, listen := platformSocket(t)
+	_, stopOld := beside(t, p, state, listen)
+	st.HandIn(t, addr, "safe", "safe", 0, 15*time.Second)
+	silent.Next(t)
+	st.HandIn(t, addr, "unsafe", "unsafe", 1, 15*time.Second)
+	silent.Next(t)
+	admin, _ := beside(t, p, state, listen)
+	wantFigures(t, admin, map[string]int{"outstanding": 2, "forwards": 0})
+	stopOld()
+	if c := silent.Next(t); c.ID != "safe" {
+		t.Errorf("%s is sent again", c.ID)
+	}
+	if n := st.Receive(t, p.Notices); n.Message != "unsafe" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	wantFigures(t, admin, map[string]int{"aborted.unsafe": 1, "outstanding": 1})
+}
+
+// A newcomer that dies half way changes nothing: the old process takes the lock and the journal again and serves
+// on, and its call that was out all the time ends as ever.
+func TestSuccessorDies(t *testing.T) {
+	t.Parallel()
+	open := make(chan struct{})
+	slow, quick := st.NewEndpoint(t, gate(open)), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, slow.Addr, quick.Addr)
+	state := t.TempDir()
+	addr, listen := platformSocket(t)
+	admin, _ := beside(t, p, state, listen)
+	st.HandIn(t, addr, "out", "unsafe", 0, 15*time.Second)
+	slow.Next(t)
+	for n := range 2 {
+		l, _, estate, err := askHolder(context.Background(), state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(estate.Flights) != 1 || estate.Flights[0].ID != (flightID{"out", 0}) {
+			t.Errorf("calls handed over: %+v", estate.Flights)
+		}
+		waitHealth(t, admin, "fail leaving\n")
+		l.close()
+		waitHealth(t, admin, "ok\n")
+		id := "again" + strconv.Itoa(n)
+		st.HandIn(t, addr, id, "unsafe", 1, 15*time.Second)
+		if c := quick.Next(t); c.ID != id {
+			t.Errorf("the endpoint got %s", c.ID)
+		}
+	}
+	close(open)
+	wantFigures(t, admin, map[string]int{"outstanding": 0, "succeeded.unsafe": 3, "aborted.unsafe": 0, "forwards": 3})
+}
+
+// What a process that was killed has left stops no start: its socket is a file that nobody listens on.
+func TestStaleSocket(t *testing.T) {
+	t.Parallel()
+	quick := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, quick.Addr)
+	state := t.TempDir()
+	if err := socketAt(state, func(path string) error {
+		l, err := net.Listen("unix", path)
+		if err != nil {
+			return err
+		}
+		l.(*net.UnixListener).SetUnlinkOnClose(false)
+		return l.Close()
+	}); err != nil {
+		t.Fatal(err)
+	}
+	addr, listen := platformSocket(t)
+	_, stop := beside(t, p, state, listen)
+	beside(t, p, state, listen)
+	st.HandIn(t, addr, "m", "unsafe", 0, 15*time.Second)
+	quick.Next(t)
+	stop()
+	if err := socketAt(state, func(path string) error { _, err := os.Stat(path); return err }); err != nil {
+		t.Errorf("the new process has no socket: %v", err)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/base64"
+	"encoding/gob"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -33,13 +36,22 @@
 type message struct {
 	*stored
 	number brain.MessageID
-	base   int                        // attempts made by earlier processes
-	sends  int                        // and by this one
-	answer chan answerLine            // its client still waits; nil once answered
-	calls  map[int]context.CancelFunc // out, by the Brain's number of the attempt
+	base   int              // attempts made by earlier processes
+	sends  int              // and by this one
+	answer chan answerLine  // its client still waits; nil once answered
+	calls  map[int]*outCall // out, by the Brain's number of the attempt
 	ended  bool
 }
 
+// outCall is the call that an attempt is out with.
+type outCall struct {
+	number   uint64
+	endpoint brain.EndpointID
+	timeout  time.Duration
+	cancel   func()
+	at       *link // the process that makes it, nil for this one
+}
+
 // Sender is one real sender.
 type Sender struct {
 	c       *Config
@@ -67,6 +79,20 @@
 	alarm     *time.Timer
 	unwritten atomic.Bool // the journal's last write failed
 	quitting  bool        // no more steps: what comes in is only written down
+	numbered  uint64      // calls so far, those of the process before included
+
+	listVersion int64
+	listener    net.Listener
+	reopen      func() // listens for clients again
+
+	lock        *os.File              // on the state folder; nil if it could not be had, or after a hand-over
+	predecessor *link                 // the process that this one took over from, while it runs
+	inbox       *gob.Decoder          // of that
+	handed      bool                  // a successor decides
+	heir        *link                 // it, while it runs
+	memory      brain.Memory          // what was handed to it
+	passed      map[uint64]submission // requests that it has not answered yet
+	seq         uint64
 
 	grace, leaveAfter time.Duration
 }
@@ -77,25 +103,37 @@
 	toldEvent   struct{ notices []notice }
 )
 
-// New opens the journal; Run does the rest.
+// New opens the journal, unless another process holds it; Run does the rest.
 func New(c *Config, log *slog.Logger) (*Sender, error) {
-	j, err := openJournal(c.State, int64(c.Limits.DiskMB*1e6*journalPart))
-	if err != nil {
-		return nil, err
-	}
-	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), journal: j, pool: newPool(c), figures: newFigures(c.Classes),
+	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
+	s.pool.forwarded = s.figures.forwarded
+	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
+	lock, err := lockFolder(c.State)
+	if err != nil {
+		log.Warn("the state folder cannot be locked: an upgrade will not be noticed", "err", err)
+	} else if lock == nil {
+		return s, nil // another process holds it: Run takes over from that
+	}
+	s.lock = lock
+	return s, s.openJournal()
+}
+
+func (s *Sender) openJournal() error {
+	j, err := openJournal(s.c.State, int64(s.c.Limits.DiskMB*1e6*journalPart))
+	if err != nil {
+		return err
+	}
 	if j.failed {
-		log.Warn("the journal can't be written: nothing is taken on until it can", "folder", c.State)
+		s.log.Warn("the journal can't be written: nothing is taken on until it can", "folder", s.c.State)
 	}
 	if j.damaged > 0 {
-		log.Warn("the journal holds damaged records", "lines", j.damaged)
+		s.log.Warn("the journal holds damaged records", "lines", j.damaged)
 	}
-	s.pool.forwarded = s.figures.forwarded
-	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
-	return s, nil
+	s.journal = j
+	return nil
 }
 
 // post hands an event to the loop; false if that has ended.
@@ -116,10 +154,23 @@
 	if s.c.Admin != "" {
 		go newAdmin(s.log, s.health, s.figures.dump).run(work, s.c.Admin)
 	}
+	var st *estate
+	if s.journal == nil {
+		var err error
+		if st, err = s.own(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+	}
 	known := s.c.Known.Version
 	if len(s.c.Known.Servers) == 0 {
 		known = -1
 	}
+	if st != nil {
+		known = st.ListVersion
+	}
 	go s.disc.follow(work, known, s.asked,
 		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
 	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
@@ -127,17 +178,34 @@
 	if !s.c.Settings.AsksForList {
 		s.ask()
 	}
-	s.resume(work)
-	l, err := listen()
-	if err != nil {
-		return errors.Join(fmt.Errorf("listen: %w", err), s.leave(stop))
-	}
+	s.resume(work, st, s.predecessorCall)
 	served := make(chan error, 1)
-	go func() { served <- s.server.serve(l) }()
-	s.server.ready.Store(true)
-	s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
+	open := func() error {
+		l, err := listen()
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		s.listener = l
+		go func() { served <- s.server.serve(l) }()
+		s.server.closing.Store(false)
+		s.server.ready.Store(true)
+		s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
+		return nil
+	}
+	if err := open(); err != nil {
+		return errors.Join(err, s.leave(stop))
+	}
+	s.reopen = func() {
+		if err := open(); err != nil {
+			s.log.Error("clients cannot be served again", "err", err)
+		}
+	}
+	if s.predecessor != nil {
+		go s.predecessor.listen(s.inbox, func(e any) { s.post(work, e) })
+	}
+	go s.awaitSuccessor(work)
 
-	var grace, leave <-chan time.Time
+	var grace, leave, cut <-chan time.Time
 	shut, answered := make(chan struct{}), false
 	idle := time.NewTicker(idleLook)
 	defer idle.Stop()
@@ -166,16 +234,26 @@
 				close(shut)
 			}()
 		case <-leave:
+			if leave = nil; !s.handed || s.out == 0 {
+				return s.leave(stop)
+			}
+			// The successor must not send again what is still out here: it hears of each call's end first.
+			for _, m := range s.messages {
+				for _, c := range m.calls {
+					c.cancel()
+				}
+			}
+			cut = time.After(cutTime)
+		case <-cut:
 			return s.leave(stop)
 		case <-shut:
 			shut, answered = nil, true
 		case err := <-served:
-			if err != nil {
+			if err != nil && !s.handed {
 				return errors.Join(fmt.Errorf("clients: %w", err), s.leave(stop))
 			}
-			served = nil
 		}
-		if answered && s.out == 0 && len(s.owed) == 0 {
+		if (answered || cut != nil) && s.out == 0 && len(s.owed) == 0 {
 			return s.leave(stop)
 		}
 	}
@@ -186,19 +264,45 @@
 	stop()
 	s.server.http.Close()
 	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed), "shared", s.shared)
-	return s.journal.close()
+	if s.heir != nil {
+		s.heir.drain()
+	}
+	var err error
+	if s.journal != nil {
+		err = s.journal.close()
+	}
+	if s.lock != nil {
+		socketAt(s.c.State, os.Remove) // ours, as long as we hold the lock
+		s.lock.Close()
+	}
+	return err
 }
 
 // resume hands the Brain what an earlier process left, before any client is heard. The list in the
 // configuration may be older than what that process had been told, and an endpoint on it may have drained
-// since: nothing is sent until discovery has answered once, or has had its time.
-func (s *Sender) resume(ctx context.Context) {
-	s.step(ctx, []brain.Event{s.news(s.c.Known, true)})
+// since: nothing is sent until discovery has answered once, or has had its time. An estate's list is as new as
+// can be. Its calls are still out; call gives each one's place in this process.
+func (s *Sender) resume(ctx context.Context, st *estate, call func(flight) *outCall) {
+	flying := map[string]flight{}
 	var events []brain.Event
-	select {
-	case e := <-s.events:
-		events = append(events, s.take(e)...)
-	case <-time.After(firstList):
+	if st != nil {
+		for _, t := range st.Endpoints { // in the order of the other module's numbers
+			s.list.line(t, s.c, s.pool)
+			s.listVersion = st.ListVersion
+		}
+		for _, f := range st.Flights {
+			flying[f.ID.ID] = f
+			s.numbered = max(s.numbered, f.Call)
+		}
+		s.step(ctx, s.relist())
+		s.brain.Recall(st.Memory)
+	} else {
+		s.step(ctx, []brain.Event{s.news(s.c.Known, true)})
+		select {
+		case e := <-s.events:
+			events = append(events, s.take(ctx, e)...)
+		case <-time.After(firstList):
+		}
 	}
 	for _, m := range s.journal.order {
 		if m.how != "" {
@@ -206,17 +310,46 @@
 			continue
 		}
 		first, may := m.firstRun()
-		events = append(events, brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
+		msg := brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Deadline: m.Deadline,
-			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone})
+			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone}
+		// Only the last attempt can be out; an endpoint that no list has named has no call.
+		if f, out := flying[m.ID]; out && f.ID.Try == len(m.Tries)-1 && int(f.Endpoint) < len(s.list.byNumber) {
+			held := s.messages[msg.ID]
+			held.base, held.sends = f.ID.Try, 1
+			held.calls[0] = call(f)
+			msg.Tried, msg.Out = f.ID.Try, &brain.Out{Endpoint: f.Endpoint, Call: f.Call, Sent: f.At, Timeout: f.Timeout}
+		}
+		events = append(events, msg)
 	}
 	s.step(ctx, events)
 }
 
+// relist is the list as news for a module that knows nothing yet: each endpoint once, so that the calls that are
+// out have theirs even if it drains or is gone, and then the list as it is.
+func (s *Sender) relist() []brain.Event {
+	var all, now brain.ListNews
+	all.Whole, now.Whole = true, true
+	for _, e := range s.list.byNumber {
+		line := s.list.line(e.target, s.c, s.pool)
+		ready := line
+		ready.Ready = true
+		all.Endpoints, now.Endpoints = append(all.Endpoints, ready), append(now.Endpoints, line)
+	}
+	return []brain.Event{all, now}
+}
+
+// predecessorCall stands for a call that the process before this one has out.
+func (s *Sender) predecessorCall(f flight) *outCall {
+	at := s.predecessor
+	return &outCall{number: f.Call, endpoint: f.Endpoint, timeout: f.Timeout, at: at,
+		cancel: func() { at.send(packet{Cancel: &f.ID}) }}
+}
+
 // hold gives a message its number.
 func (s *Sender) hold(st *stored, answer chan answerLine) brain.MessageID {
 	s.last++
-	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer, calls: map[int]context.CancelFunc{}}
+	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer, calls: map[int]*outCall{}}
 	s.messages[m.number], s.byID[st.ID] = m, m
 	s.held++
 	return m.number
@@ -224,9 +357,19 @@
 
 // turn takes in an event and all others that wait, and lets the Brain decide once.
 func (s *Sender) turn(ctx context.Context, first any) {
+	if s.handed {
+		s.relay(ctx, first)
+		s.publish()
+		return
+	}
 	var events []brain.Event
-	for e, n := first, 0; e != nil && n < batchMost; n++ {
-		events = append(events, s.take(e)...)
+	var heir *link
+	for e, n := first, 0; e != nil && n < batchMost && heir == nil; n++ {
+		if hello, ok := e.(helloEvent); ok {
+			heir = hello.link
+			break
+		}
+		events = append(events, s.take(ctx, e)...)
 		select {
 		case e = <-s.events:
 		default:
@@ -237,13 +380,16 @@
 		s.flush()
 		s.tell()
 		s.publish()
-		return
+	} else {
+		s.step(ctx, events)
+	}
+	if heir != nil {
+		s.handOver(heir)
 	}
-	s.step(ctx, events)
 }
 
 // take books one event and translates it for the Brain; nothing if that need not know.
-func (s *Sender) take(e any) []brain.Event {
+func (s *Sender) take(ctx context.Context, e any) []brain.Event {
 	one := func(e brain.Event) []brain.Event {
 		if e == nil {
 			return nil
@@ -257,6 +403,12 @@
 		return one(s.submitted(e))
 	case callEnd:
 		return s.callEnded(e)
+	case linkEvent:
+		return s.fromPredecessor(ctx, e)
+	case lockEvent:
+		if e.lock != nil {
+			e.lock.Close()
+		}
 	case listEvent:
 		return one(s.news(e.Targets, e.Full))
 	case failedEvent:
@@ -267,8 +419,8 @@
 		return one(brain.ListNews{Failed: true})
 	case toldEvent:
 		s.telling = false
-		s.owed = s.owed[len(e.notices):]
 		for _, n := range e.notices {
+			s.owed = slices.DeleteFunc(s.owed, func(o notice) bool { return o.Message == n.Message })
 			if m := s.journal.byID[n.Message]; m != nil && m.how != "" {
 				s.journal.note(m, record{Op: "told"})
 			}
@@ -288,6 +440,12 @@
 	if s.quitting {
 		return refuse("shutting down")
 	}
+	// The settings may have changed since it was read, and a request from another process names its class only.
+	if sub.class = place(s.c.Classes, sub.Class, -1); sub.class < 0 {
+		sub.answer <- answerLine{http.StatusBadRequest, 0, "X-Class is not among the settings"}
+		return nil
+	}
+	sub.tenant = place(s.c.Tenants, sub.Tenant, -1)
 	if s.journal.byID[sub.ID] != nil { // handed in twice: it is ours already
 		sub.answer <- answerLine{status: http.StatusAccepted}
 		return nil
@@ -309,6 +467,9 @@
 		s.out--
 	}
 	for _, e := range c.ends {
+		if m := s.byID[e.message.ID]; m != nil && m != e.message { // since this process took everything up again
+			e.message, e.attempt = m, e.message.base+e.attempt-m.base
+		}
 		if _, out := e.message.calls[e.attempt]; out { // it may have ended before its call
 			events = append(events, s.itemEnded(e))
 		}
@@ -360,6 +521,7 @@
 
 func (s *Sender) news(t Targets, whole bool) brain.Event {
 	news := brain.ListNews{Whole: whole}
+	s.listVersion = t.Version
 	if whole {
 		s.list.clear()
 	}
@@ -408,7 +570,7 @@
 			sends = append(sends, a)
 		case brain.Cancel:
 			if m := s.messages[a.Message]; m != nil && m.calls[a.Attempt] != nil {
-				m.calls[a.Attempt]()
+				m.calls[a.Attempt].cancel()
 			}
 		case brain.CloseIdle:
 			if e := s.endpoint(a.Endpoint); e != nil {
@@ -567,8 +729,9 @@
 	}
 	timeout = min(timeout, cut)
 	call, cancel := context.WithTimeout(ctx, timeout)
+	s.numbered++
 	for _, it := range items {
-		it.message.calls[it.attempt] = cancel
+		it.message.calls[it.attempt] = &outCall{number: s.numbered, endpoint: e.number, timeout: it.timeout, cancel: cancel}
 	}
 	s.out++
 	s.shared += len(items) - 1
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -404,7 +404,7 @@
 		s := newTest(t, st.NewPlatform(t), nil)
 		for i := range c.items {
 			c.items[i].ID = "m" + strconv.Itoa(i)
-			c.items[i].message = &message{stored: &stored{}, ended: true, calls: map[int]context.CancelFunc{}}
+			c.items[i].message = &message{stored: &stored{}, ended: true, calls: map[int]*outCall{}}
 		}
 		s.call(context.Background(), &endpoint{addr: e.Addr}, c.items, true)
 		for i, want := range c.want {
@@ -568,7 +568,7 @@
 	began := time.Now()
 	end := callOnce(s.pool, at, 30*time.Millisecond, "")
 	end.Elapsed = time.Since(began)
-	m := &message{stored: &stored{}, ended: true, calls: map[int]context.CancelFunc{0: func() {}}}
+	m := &message{stored: &stored{}, ended: true, calls: map[int]*outCall{0: {cancel: func() {}}}}
 	s.callEnded(callEnd{[]itemEnd{{m, 0, end}}, true})
 	if n := s.pool.idle.Load(); n != 0 {
 		t.Errorf("%d idle connections after a time-out", n)
