--- a/brain/api.go
+++ b/brain/api.go
@@ -80,7 +80,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, Withdrawn, ListNews and Alarm.
+// Event is one of Message, AttemptEnd, Withdrawn, ListNews, NewSettings and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
@@ -98,9 +98,16 @@
 	MayRun   bool          // one of them may have run
 	FirstRun time.Duration // and was sent at this clock time, the first of those that may have
 	RanZone  int           // to this zone
+	Rules    *Rules        // those that it was taken under; nil for those of the settings
 	Out      *Out          // an attempt that is out, after those; the list must have named its endpoint
 }
 
+// Rules are what a message is held to from the time that it was taken on, whatever the settings say later.
+type Rules struct {
+	Class
+	MaxAttempts int
+}
+
 // Out is an attempt that another process of the same sender has out. It ends by an AttemptEnd with number 0.
 type Out struct {
 	Endpoint EndpointID
@@ -159,14 +166,18 @@
 	Rating      float64
 }
 
+// NewSettings replaces the settings. Messages held keep the rules that they were taken under.
+type NewSettings struct{ Settings }
+
 // Alarm says that a time asked for has come.
 type Alarm struct{}
 
-func (Message) event()    {}
-func (AttemptEnd) event() {}
-func (Withdrawn) event()  {}
-func (ListNews) event()   {}
-func (Alarm) event()      {}
+func (Message) event()     {}
+func (AttemptEnd) event()  {}
+func (Withdrawn) event()   {}
+func (ListNews) event()    {}
+func (NewSettings) event() {}
+func (Alarm) event()       {}
 
 // Action is one of Send, Refuse, Fail, Cancel, CloseIdle, SetAlarm, WatchList and Log.
 type Action interface{ action() }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -307,6 +307,8 @@
 			if m := b.byID[e.Message]; m != nil {
 				b.close(m)
 			}
+		case NewSettings:
+			b.retune(e.Settings)
 		case ListNews:
 			if !e.Failed {
 				b.news(e)
@@ -349,7 +351,7 @@
 			continue
 		}
 		last := m.Deadline - max(m.route().quickest, b.s.Step)
-		spent := b.s.MaxAttempts > 0 && m.tries() >= b.s.MaxAttempts
+		spent := m.most > 0 && m.tries() >= m.most
 		if b.now >= last || spent || !b.mayRepeat(m, b.now) {
 			b.acts = append(b.acts, Fail{m.ID})
 			b.close(m)
@@ -675,7 +677,7 @@
 		}
 		restartable = b.now+tau+2*b.s.Step+r.quickest < from+m.class.KeyWindow
 	}
-	if b.s.MaxAttempts > 0 && m.tries()+1 >= b.s.MaxAttempts {
+	if m.most > 0 && m.tries()+1 >= m.most {
 		restartable = false
 	}
 	if restartable && tau < left {
--- a/brain/state.go
+++ b/brain/state.go
@@ -127,6 +127,7 @@
 type message struct {
 	Message
 	class     *Class
+	most      int // attempts
 	dest      *destination
 	attempts  []attempt
 	out       int // attempts without an outcome
@@ -322,15 +323,25 @@
 	}
 }
 
+// retune takes in new settings. What was learnt of destinations stays, and the messages held have their rules.
+func (b *Brain) retune(s Settings) {
+	b.s = s
+	b.tenants = append(b.tenants, make([]tenant, max(0, len(s.Tenants)-len(b.tenants)))...)[:len(s.Tenants)]
+}
+
 // positive reports whether x is of use as a figure: a report or a list may hold anything.
 func positive(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
 
 func (b *Brain) admit(msg Message) {
-	if msg.Class < 0 || msg.Class >= len(b.s.Classes) {
-		b.acts = append(b.acts, Fail{msg.ID}) // nothing is known of what it may do
-		return
+	rules := msg.Rules
+	if rules == nil {
+		if msg.Class < 0 || msg.Class >= len(b.s.Classes) {
+			b.acts = append(b.acts, Fail{msg.ID}) // nothing is known of what it may do
+			return
+		}
+		rules = &Rules{b.s.Classes[msg.Class], b.s.MaxAttempts}
 	}
-	m := &message{Message: msg, class: &b.s.Classes[msg.Class], dest: b.destination(msg.Destination),
+	m := &message{Message: msg, class: &rules.Class, most: rules.MaxAttempts, dest: b.destination(msg.Destination),
 		mayRun: msg.MayRun, firstRun: msg.FirstRun, ranZone: msg.RanZone}
 	b.byID[m.ID] = m
 	b.held = append(b.held, m)
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -57,7 +57,9 @@
 		for {
 			select {
 			case <-hup:
-				reload(s, log)
+				if err := s.Reload(ctx, os.Getenv); err != nil {
+					log.Error("reload: going on as before", "err", err)
+				}
 			case <-done:
 				return
 			}
@@ -65,13 +67,3 @@
 	}()
 	return s.Run(ctx, listen)
 }
-
-// reload heeds SIGHUP. With a file that cannot be used the sender goes on as it is.
-func reload(s *sender.Sender, log *slog.Logger) {
-	c, err := sender.ReloadConfig(os.Getenv)
-	if err != nil {
-		log.Error("reload", "err", err)
-		return
-	}
-	s.Reload(c)
-}
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -5,11 +5,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"dockshift.example/dockshift/brain"
@@ -40,6 +43,8 @@
 	Classes, Tenants, Kinds, Zones []string // names, in the order of the settings
 	Fields                         []string // of load reports
 	ConnectTimeout                 time.Duration
+
+	shape any // the file as it was read
 }
 
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
@@ -92,20 +97,96 @@
 	return func() (net.Listener, error) { return net.FileListener(f) }, nil
 }
 
-// ReloadConfig reads the file again. Here it wins, as the variables are those of the start.
-func ReloadConfig(getenv func(string) string) (*Config, error) {
+// reload reads the file again and gives the configuration that follows this one. Here the file wins over the
+// variables, as those are of the start. What a process is by its start (name, addresses of its own, folder,
+// limits) stays. A file that lacks anything that the one before had was not written whole: nothing is taken of it.
+func (c *Config) reload(getenv func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := ParseConfig(raw)
+	n, err := ParseConfig(raw)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+	if err := lacks(c.shape, n.shape, ""); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(n.Discovery); err != nil {
 		return nil, fmt.Errorf("configuration: discovery: %w", err)
 	}
-	return c, nil
+	if c.Settings.MaxAttempts > 0 && n.Settings.MaxAttempts <= 0 {
+		return nil, errors.New("configuration: settings.limits.maxAttempts is not a positive number")
+	}
+	next := *c
+	next.Discovery, next.Settings, next.Classes, next.Tenants = n.Discovery, n.Settings, n.Classes, n.Tenants
+	next.Kinds, next.Zones, next.shape = n.Kinds, n.Zones, n.shape
+	return &next, nil
+}
+
+// lacks tells what a value read from JSON has not got of another: a key, or all items of a list. An item must
+// have the keys that all items before have.
+func lacks(old, now any, path string) error {
+	switch old := old.(type) {
+	case map[string]any:
+		now, ok := now.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s is not an object", path)
+		}
+		for key, v := range old {
+			at := strings.TrimPrefix(path+"."+key, ".")
+			if _, ok := now[key]; !ok {
+				return fmt.Errorf("%s is missing", at)
+			}
+			if at == "known" { // a list of endpoints, as new as it may be
+				continue
+			}
+			if err := lacks(v, now[key], at); err != nil {
+				return err
+			}
+		}
+	case []any:
+		now, ok := now.([]any)
+		if !ok {
+			return fmt.Errorf("%s is not a list", path)
+		}
+		if len(old) > 0 && len(now) == 0 {
+			return fmt.Errorf("%s is empty", path)
+		}
+		item := common(old)
+		for i, v := range now {
+			if err := lacks(item, v, fmt.Sprintf("%s.%d", path, i)); err != nil {
+				return err
+			}
+		}
+	default:
+		switch now.(type) {
+		case map[string]any, []any, nil:
+			if old != nil {
+				return fmt.Errorf("%s is not a plain value", path)
+			}
+		}
+	}
+	return nil
+}
+
+// common is what all items of a list have, nil if they are no objects.
+func common(items []any) any {
+	var all map[string]any
+	for i, v := range items {
+		item, ok := v.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if i == 0 {
+			all = maps.Clone(item)
+		}
+		maps.DeleteFunc(all, func(key string, _ any) bool { _, has := item[key]; return !has })
+	}
+	if all == nil {
+		return nil
+	}
+	return all
 }
 
 // ParseConfig reads the configuration's JSON.
@@ -124,6 +205,10 @@
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return nil, err
 	}
+	var shape any
+	if err := json.Unmarshal(raw, &shape); err != nil {
+		return nil, err
+	}
 	env, err := settings.Flatten(file.Settings)
 	if err != nil {
 		return nil, err
@@ -131,9 +216,22 @@
 	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, State: file.State,
 		Limits: file.Limits, Known: file.Known, Settings: settings.Translate(env),
 		Kinds: env.List("models"), Zones: env.List("zones"), Fields: env.List("telemetry.fields"),
-		ConnectTimeout: settings.Span(env.Float("limits.connectTimeout"))}
+		shape: shape, ConnectTimeout: settings.Span(env.Float("limits.connectTimeout"))}
 	for i := range env.Count("services") {
-		c.Classes = append(c.Classes, env.Text(fmt.Sprintf("services.%d.name", i)))
+		if err := env.Err(); err != nil {
+			return nil, err
+		}
+		name := env.Text(fmt.Sprintf("services.%d.name", i))
+		if name == "" || slices.Contains(c.Classes, name) {
+			return nil, fmt.Errorf("services.%d.name %q is empty or stands twice", i, name)
+		}
+		if class := c.Settings.Classes[i]; class.Deadline <= 0 || class.Aim <= 0 {
+			return nil, fmt.Errorf("services.%d: giveUp and slo must be positive", i)
+		}
+		c.Classes = append(c.Classes, name)
+	}
+	if c.Settings.MaxAttempts < 0 {
+		return nil, errors.New("limits.maxAttempts is not a positive number")
 	}
 	for i := range env.Count("orgs") {
 		c.Tenants = append(c.Tenants, env.Text(fmt.Sprintf("orgs.%d.name", i)))
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -234,7 +234,7 @@
 	var st *estate
 	var from *link
 	for told := false; ; {
-		lock, err := lockFolder(s.c.State)
+		lock, err := lockFolder(s.folder)
 		if err != nil {
 			s.log.Warn("the state folder cannot be locked: an upgrade will not be noticed", "err", err)
 		}
@@ -243,7 +243,7 @@
 			break
 		}
 		if from == nil {
-			l, dec, e, err := askHolder(ctx, s.c.State)
+			l, dec, e, err := askHolder(ctx, s.folder)
 			if err == nil {
 				from, st, s.predecessor = l, e, l
 				s.inbox = dec
@@ -270,7 +270,7 @@
 		return
 	}
 	var l net.Listener
-	err := socketAt(s.c.State, func(path string) (err error) {
+	err := socketAt(s.folder, func(path string) (err error) {
 		os.Remove(path)
 		l, err = net.Listen("unix", path)
 		return err
@@ -369,6 +369,8 @@
 		}
 	case toldEvent:
 		s.telling = false // the successor tells them once more, which does no harm
+	case reloadEvent:
+		s.retune(e.Config)
 	case listEvent:
 		s.news(e.Targets, e.Full)
 	case failedEvent:
@@ -480,7 +482,7 @@
 // relock waits for the lock that a dead successor has left, and gives it to the loop.
 func (s *Sender) relock(ctx context.Context) {
 	for {
-		if lock, err := lockFolder(s.c.State); lock != nil || err != nil {
+		if lock, err := lockFolder(s.folder); lock != nil || err != nil {
 			s.post(ctx, lockEvent{lock})
 			return
 		}
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"strconv"
 	"time"
+
+	"dockshift.example/dockshift/brain"
 )
 
 // The journal is one file of lines, each a checksum and a JSON record. A process that is killed leaves at
@@ -48,6 +50,7 @@
 	Tenant   string        `json:"tenant,omitempty"`
 	Dest     uint32        `json:"dest,omitempty"`
 	Deadline time.Duration `json:"deadline,omitempty"`
+	Rules    *rules        `json:"rules,omitempty"`
 	Body     []byte        `json:"body,omitempty"`
 	Tries    []try         `json:"tries,omitempty"`
 
@@ -60,6 +63,33 @@
 	RetryMS int64  `json:"retry_ms,omitempty"`
 }
 
+// rules are those that a message was taken under. The settings may name its class no more, or otherwise, by the
+// time that the record is read.
+type rules struct {
+	Effect    brain.Effect  `json:"e,omitempty"`
+	InZone    bool          `json:"z,omitempty"`
+	Ordered   bool          `json:"o,omitempty"`
+	Attempts  int           `json:"n,omitempty"`
+	Aim       time.Duration `json:"a,omitempty"`
+	Deadline  time.Duration `json:"d,omitempty"`
+	Window    time.Duration `json:"w,omitempty"`
+	Worth     float64       `json:"v,omitempty"`
+	LateWorth float64       `json:"l,omitempty"`
+}
+
+func rulesOf(c brain.Class, attempts int) *rules {
+	return &rules{c.Effect, c.KeyInZone, c.Ordered, attempts, c.Aim, c.Deadline, c.KeyWindow, c.Worth, c.LateWorth}
+}
+
+// forBrain is nil where a record from before rules were written has none: then the settings decide by its class.
+func (r *rules) forBrain() *brain.Rules {
+	if r == nil {
+		return nil
+	}
+	return &brain.Rules{MaxAttempts: r.Attempts, Class: brain.Class{Aim: r.Aim, Deadline: r.Deadline, Effect: r.Effect,
+		KeyInZone: r.InZone, KeyWindow: r.Window, Ordered: r.Ordered, Worth: r.Worth, LateWorth: r.LateWorth}}
+}
+
 // try is an attempt of a message. One without an outcome may have run.
 type try struct {
 	At       time.Duration `json:"at"`
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,7 @@
 	quitting  bool        // no more steps: what comes in is only written down
 	numbered  uint64      // calls so far, those of the process before included
 
+	folder      string // the configuration's State
 	listVersion int64
 	listener    net.Listener
 	reopen      func() // listens for clients again
@@ -101,11 +103,12 @@
 	listEvent   struct{ Targets }
 	failedEvent struct{ err error }
 	toldEvent   struct{ notices []notice }
+	reloadEvent struct{ *Config }
 )
 
 // New opens the journal, unless another process holds it; Run does the rest.
 func New(c *Config, log *slog.Logger) (*Sender, error) {
-	s := &Sender{c: c, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
+	s := &Sender{c: c, folder: c.State, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
@@ -272,7 +275,7 @@
 		err = s.journal.close()
 	}
 	if s.lock != nil {
-		socketAt(s.c.State, os.Remove) // ours, as long as we hold the lock
+		socketAt(s.folder, os.Remove) // ours, as long as we hold the lock
 		s.lock.Close()
 	}
 	return err
@@ -312,7 +315,7 @@
 		first, may := m.firstRun()
 		msg := brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Deadline: m.Deadline,
-			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone}
+			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone, Rules: m.Rules.forBrain()}
 		// Only the last attempt can be out; an endpoint that no list has named has no call.
 		if f, out := flying[m.ID]; out && f.ID.Try == len(m.Tries)-1 && int(f.Endpoint) < len(s.list.byNumber) {
 			held := s.messages[msg.ID]
@@ -403,6 +406,8 @@
 		return one(s.submitted(e))
 	case callEnd:
 		return s.callEnded(e)
+	case reloadEvent:
+		return s.retune(e.Config)
 	case linkEvent:
 		return s.fromPredecessor(ctx, e)
 	case lockEvent:
@@ -453,12 +458,13 @@
 	if most := s.c.Settings.MostHeld; most > 0 && s.held >= most {
 		return refuse("all room for messages is taken")
 	}
+	sub.Rules = rulesOf(s.c.Settings.Classes[sub.class], s.c.Settings.MaxAttempts)
 	st, err := s.journal.take(sub.record)
 	if err != nil {
 		return refuse("no room to keep the message")
 	}
 	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
-		Destination: brain.DestinationID(sub.Dest), Deadline: sub.Deadline}
+		Destination: brain.DestinationID(sub.Dest), Deadline: sub.Deadline, Rules: sub.Rules.forBrain()}
 }
 
 func (s *Sender) callEnded(c callEnd) []brain.Event {
@@ -609,10 +615,28 @@
 	return nil
 }
 
-// Reload takes over from a new configuration what may change in service: the platform's address.
-func (s *Sender) Reload(c *Config) {
-	s.log.Info("reloaded", "discovery", c.Discovery)
+// Reload reads the configuration again and takes from it what may change in service: the platform's address and
+// the settings. A file that cannot be used changes nothing.
+func (s *Sender) Reload(ctx context.Context, getenv func(string) string) error {
+	c, err := s.server.conf.Load().reload(getenv)
+	if err != nil {
+		s.figures.reloaded(false)
+		return err
+	}
 	s.disc.move(c.Discovery)
+	if s.post(ctx, reloadEvent{c}) {
+		s.server.conf.Store(c) // from here on requests are read by it; the loop has it first
+	}
+	return nil
+}
+
+// retune goes on by a new configuration. Messages held keep the rules that they were taken under.
+func (s *Sender) retune(c *Config) []brain.Event {
+	s.c = c
+	s.figures.name(c.Classes)
+	s.figures.reloaded(true)
+	s.log.Info("reloaded", "discovery", c.Discovery, "classes", strings.Join(c.Classes, ","), "attempts", c.Settings.MaxAttempts)
+	return []brain.Event{brain.NewSettings{Settings: c.Settings}, s.relist()[1]}
 }
 
 // ask begins a watch of the list. Where the settings have the list pushed, the module asks for nothing, and the
--- /dev/null
+++ b/internal/sender/reload_test.go
@@ -0,0 +1,223 @@
+package sender
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// reloadable is a running sender whose configuration can be replaced.
+type reloadable struct {
+	*Sender
+	addr, admin, file string
+	text              map[string]any
+	stop              func()
+}
+
+func startReloadable(t *testing.T, p *st.Platform, state string, edit func(text map[string]any)) *reloadable {
+	t.Helper()
+	r := &reloadable{text: st.Config(p, state), admin: freeAddr(t), file: filepath.Join(t.TempDir(), "config.json")}
+	if edit != nil {
+		edit(r.text)
+	}
+	r.write(t, r.text)
+	c, err := LoadConfig(r.getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Sender = newTest(t, p, func(own *Config) { *own = *c; own.Admin = r.admin })
+	addr := make(chan string, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- r.Run(ctx, func() (net.Listener, error) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			addr <- l.Addr().String()
+			return l, err
+		})
+	}()
+	r.addr = st.Receive(t, addr)
+	stopped := false
+	r.stop = func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			if err := st.Receive(t, done); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	t.Cleanup(r.stop)
+	return r
+}
+
+func (r *reloadable) getenv(name string) string {
+	if name == "EDGE_CONFIG" {
+		return r.file
+	}
+	return ""
+}
+
+func (r *reloadable) write(t *testing.T, text any) {
+	t.Helper()
+	raw, ok := text.(string)
+	if !ok {
+		b, err := json.Marshal(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw = string(b)
+	}
+	if err := os.WriteFile(r.file, []byte(raw), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func services(text map[string]any) []any {
+	return text["settings"].(map[string]any)["services"].([]any)
+}
+
+// service is a class of the test's configuration, edited.
+func service(name, effect string) map[string]any {
+	return map[string]any{"name": name, "slo": 2500.0, "giveUp": 20000.0, "effect": effect, "dedupWindow": 7500.0,
+		"dedupScope": "all", "worth": 1.0, "lateValue": 0.5}
+}
+
+// Of a broken file nothing is taken, not even what is sound in it; it is counted, and the next whole one is taken.
+func TestBrokenSettingsAreTurnedDownWhole(t *testing.T) {
+	t.Parallel()
+	good := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, good.Addr)
+	r := startReloadable(t, p, t.TempDir(), nil)
+	fresh := func(edit func(text map[string]any)) map[string]any {
+		text := st.Config(p, "")
+		set := text["settings"].(map[string]any)
+		set["services"] = append(services(text), service("fresh", "read_like"))
+		edit(text)
+		return text
+	}
+	settings := func(text map[string]any) map[string]any { return text["settings"].(map[string]any) }
+	raw, err := json.Marshal(fresh(func(map[string]any) {}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken := map[string]any{
+		"empty":           "",
+		"cut":             string(raw[:len(raw)*2/3]),
+		"two":             string(raw) + string(raw),
+		"a list":          "[]",
+		"no settings":     fresh(func(c map[string]any) { delete(c, "settings") }),
+		"no discovery":    fresh(func(c map[string]any) { delete(c, "discovery") }),
+		"no limits":       fresh(func(c map[string]any) { delete(settings(c), "limits") }),
+		"no attempts":     fresh(func(c map[string]any) { delete(settings(c)["limits"].(map[string]any), "maxAttempts") }),
+		"attempts 0":      fresh(func(c map[string]any) { settings(c)["limits"].(map[string]any)["maxAttempts"] = 0 }),
+		"attempts -1":     fresh(func(c map[string]any) { settings(c)["limits"].(map[string]any)["maxAttempts"] = -1 }),
+		"attempts a word": fresh(func(c map[string]any) { settings(c)["limits"].(map[string]any)["maxAttempts"] = "many" }),
+		"no classes":      fresh(func(c map[string]any) { settings(c)["services"] = []any{} }),
+		"no deadline":     fresh(func(c map[string]any) { delete(services(c)[3].(map[string]any), "giveUp") }),
+		"deadline 0":      fresh(func(c map[string]any) { services(c)[3].(map[string]any)["giveUp"] = 0.0 }),
+		"deadline -5":     fresh(func(c map[string]any) { services(c)[0].(map[string]any)["giveUp"] = -5 }),
+		"deadline a word": fresh(func(c map[string]any) { services(c)[3].(map[string]any)["giveUp"] = "soon" }),
+		"deadline null":   fresh(func(c map[string]any) { services(c)[3].(map[string]any)["giveUp"] = nil }),
+		"no effect":       fresh(func(c map[string]any) { delete(services(c)[1].(map[string]any), "effect") }),
+		"odd effect":      fresh(func(c map[string]any) { services(c)[3].(map[string]any)["effect"] = "sometimes" }),
+		"a name twice":    fresh(func(c map[string]any) { services(c)[3].(map[string]any)["name"] = "safe" }),
+		"no name":         fresh(func(c map[string]any) { delete(services(c)[3].(map[string]any), "name") }),
+	}
+	n := 0
+	for name, text := range broken {
+		r.write(t, text)
+		err := r.Reload(context.Background(), r.getenv)
+		if err == nil {
+			t.Errorf("%s: taken", name)
+			continue
+		}
+		if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %q is no plain line", name, err)
+		}
+		n++
+	}
+	wantFigures(t, r.admin, map[string]int{"sighup_applied": 0, "sighup_rejected": n})
+	if resp, _ := st.Do(t, st.Message(t, r.addr, "m", "fresh", 0, 5*time.Second, "x")); resp.StatusCode != 400 {
+		t.Errorf("a class of a broken file: %s", resp.Status)
+	}
+	if _, shown := readFigures(t, r.admin)["succeeded.fresh"]; shown {
+		t.Error("a class of a broken file has figures")
+	}
+	r.write(t, string(raw))
+	if err := r.Reload(context.Background(), r.getenv); err != nil {
+		t.Fatal(err)
+	}
+	wantFigures(t, r.admin, map[string]int{"sighup_applied": 1, "sighup_rejected": n, "succeeded.fresh": 0, "aborted.fresh": 0})
+	st.HandIn(t, r.addr, "m", "fresh", 0, 5*time.Second)
+	wantFigures(t, r.admin, map[string]int{"succeeded.fresh": 1})
+}
+
+// Messages keep the effect and the attempts that they were taken under, in this process and in the next one; those
+// taken later have the new ones, under the same name. A dropped class takes no more, and its messages end.
+func TestMessagesKeepTheirRules(t *testing.T) {
+	for name, restart := range map[string]bool{"same process": false, "next process": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			open, later := make(chan struct{}), make(chan struct{})
+			first := true
+			at := st.NewEndpoint(t, func(c st.Call, conn net.Conn) bool {
+				if first { // what is out across the change may have run
+					first = false
+					<-open
+					return st.Reset(c, conn)
+				}
+				return st.Status(200)(c, conn)
+			})
+			gone := st.NewEndpoint(t, func(c st.Call, conn net.Conn) bool { <-later; return st.Reset(c, conn) })
+			p := st.NewPlatform(t, at.Addr, gone.Addr)
+			state := t.TempDir()
+			r := startReloadable(t, p, state, nil)
+			st.HandIn(t, r.addr, "old", "safe", 0, 15*time.Second)
+			at.Next(t)
+			st.HandIn(t, r.addr, "dropped", "unsafe", 1, 15*time.Second)
+			gone.Next(t)
+			change := func(text map[string]any) {
+				set := text["settings"].(map[string]any)
+				set["services"] = []any{service("safe", "non_idempotent"), service("keyed", "idempotency_key")}
+				set["limits"].(map[string]any)["maxAttempts"] = 1
+			}
+			if restart {
+				r.stop()
+				close(open)
+				r = startReloadable(t, p, state, change)
+			} else {
+				change(r.text)
+				r.write(t, r.text)
+				if err := r.Reload(context.Background(), r.getenv); err != nil {
+					t.Fatal(err)
+				}
+				wantFigures(t, r.admin, map[string]int{"sighup_applied": 1, "outstanding": 2})
+				close(open)
+			}
+			close(later)
+			if c := at.Next(t); c.ID != "old" {
+				t.Errorf("the endpoint got %s", c.ID)
+			}
+			if n := st.Receive(t, p.Notices); n.Message != "dropped" || n.Outcome != "given_up" {
+				t.Errorf("notice %+v", n)
+			}
+			wantFigures(t, r.admin, map[string]int{"succeeded.safe": 1, "aborted.unsafe": 1, "outstanding": 0})
+			if resp, _ := st.Do(t, st.Message(t, r.addr, "m", "unsafe", 0, 5*time.Second, "x")); resp.StatusCode != 400 {
+				t.Errorf("a dropped class: %s", resp.Status)
+			}
+			st.HandIn(t, r.addr, "new", "safe", 1, 15*time.Second)
+			gone.Next(t)
+			if n := st.Receive(t, p.Notices); n.Message != "new" || n.Outcome != "given_up" {
+				t.Errorf("under the new rules: %+v", n)
+			}
+		})
+	}
+}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -49,7 +49,7 @@
 
 // server takes messages in from clients.
 type server struct {
-	c       *Config
+	conf    atomic.Pointer[Config]
 	clock   clock
 	submit  func(context.Context, submission) bool
 	ready   atomic.Bool
@@ -63,7 +63,8 @@
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{c: c, clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[net.Conn]time.Time{}}
+	s := &server{clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[net.Conn]time.Time{}}
+	s.conf.Store(c)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
 	mux.HandleFunc("GET /-/ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -205,6 +206,7 @@
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
 	sub := &submission{answer: make(chan answerLine, 1), tenant: -1}
+	conf := s.conf.Load()
 	for header, field := range map[string]*string{"X-Request-Id": &sub.ID, "X-Class": &sub.Class,
 		"X-Tenant": &sub.Tenant, "Idempotency-Key": &sub.Key} {
 		v, err := name(r, header)
@@ -219,13 +221,13 @@
 	if sub.ID == "" {
 		return bad("X-Request-Id is missing")
 	}
-	if sub.class = place(s.c.Classes, sub.Class, -1); sub.class < 0 {
+	if sub.class = place(conf.Classes, sub.Class, -1); sub.class < 0 {
 		return bad("X-Class %q is not among the settings", sub.Class)
 	}
-	if sub.tenant = place(s.c.Tenants, sub.Tenant, -1); sub.tenant < 0 && len(s.c.Tenants) > 0 {
+	if sub.tenant = place(conf.Tenants, sub.Tenant, -1); sub.tenant < 0 && len(conf.Tenants) > 0 {
 		return bad("X-Tenant %q is not among the settings", sub.Tenant)
 	}
-	if s.c.Settings.Classes[sub.class].Effect == brain.Keyed && sub.Key == "" {
+	if conf.Settings.Classes[sub.class].Effect == brain.Keyed && sub.Key == "" {
 		return bad("Idempotency-Key is missing, and class %s is keyed", sub.Class)
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
