--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -424,12 +424,14 @@
 		return one(brain.ListNews{Failed: true})
 	case toldEvent:
 		s.telling = false
+		told := map[string]bool{}
 		for _, n := range e.notices {
-			s.owed = slices.DeleteFunc(s.owed, func(o notice) bool { return o.Message == n.Message })
+			told[n.Message] = true
 			if m := s.journal.byID[n.Message]; m != nil && m.how != "" {
 				s.journal.note(m, record{Op: "told"})
 			}
 		}
+		s.owed = slices.DeleteFunc(s.owed, func(n notice) bool { return told[n.Message] })
 	}
 	return nil
 }
@@ -700,7 +702,7 @@
 func (s *Sender) tell() {
 	if !s.telling && len(s.owed) > 0 {
 		s.telling = true
-		s.notices <- s.owed[:min(len(s.owed), noticeMost)]
+		s.notices <- slices.Clone(s.owed[:min(len(s.owed), noticeMost)]) // what is owed changes meanwhile
 	}
 }
 
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -577,3 +577,26 @@
 		t.Errorf("the next call: %+v", got)
 	}
 }
+
+// A notice that came to be owed while others were under way is still told: the batch that is out and the list of
+// what is owed share nothing.
+func TestNoticesOwedMeanwhileAreTold(t *testing.T) {
+	t.Parallel()
+	s := newTest(t, st.NewPlatform(t), nil)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		m, err := s.journal.take(record{ID: id, Class: "safe"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.journal.note(m, record{Op: "over", How: givenUp})
+		s.owed = append(s.owed, m.notice())
+		if id == "c" {
+			s.tell()
+		}
+	}
+	batch := st.Receive(t, s.notices)
+	s.take(context.Background(), toldEvent{batch})
+	if len(s.owed) != 1 || s.owed[0].Message != "d" || s.journal.byID["d"] == nil || len(s.journal.byID) != 1 {
+		t.Errorf("told %v, still owed %v, in the journal %d", batch, s.owed, len(s.journal.byID))
+	}
+}
