Where senders are many, wait for the list's turn and stay away after a refusal

Traced call by call: the platform served some three first calls a second and queued the next ones; a sender gave its own up after 1 s and came again, so every place in the queue was held by a call that nobody waited for any more, and all others were answered 503 (490 times, telling no time to come again). Watches that stood were served all the time, which rules out discovery being down, the list's size and the addresses. Patience, pauses and the spread of the first calls now grow with the number of senders that the settings state; for up to four nothing changes. The tests fail without: a late answer is given up, and six calls come within a second.

Not taken: watching on from the last version after a refusal instead of asking for the whole list. It may be cheaper for the platform, but a whole list is an answer at once, where a watch may be silence.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -20,6 +20,11 @@
 	noticeTime = 500 * time.Millisecond // notices are answered at once, or the connection says nothing any more
 	backOff    = 100 * time.Millisecond // first pause after a failure; doubles
 	backOffTop = 500 * time.Millisecond
+	// The platform behind the agent serves all senders of the deployment, and after a release they come at once.
+	// Who gives an answer up that is still queued for makes the queue longer with the next call, and nobody is
+	// served in time any more. So each waits, and stays away after a refusal, as long as so many need in turn.
+	perSender  = 300 * time.Millisecond
+	fewOfUs    = 4       // senders that need not take turns
 	noticeMost = 256     // notices in one call
 	maxList    = 8 << 20 // bytes of a list
 )
@@ -45,6 +50,7 @@
 // discovery speaks with the platform: the list and its changes, and notices.
 type discovery struct {
 	client *http.Client
+	turns  time.Duration // that all senders need one after another
 
 	mu    sync.Mutex
 	base  string
@@ -76,9 +82,10 @@
 	return base, here, func() { stop(); end() }
 }
 
-func newDiscovery(addr string) *discovery {
-	d := &discovery{client: &http.Client{
-		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + answerTime},
+func newDiscovery(addr string, senders int) *discovery {
+	turns := perSender * time.Duration(max(0, senders-fewOfUs))
+	d := &discovery{turns: turns, client: &http.Client{
+		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + answerTime + turns},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}}}
@@ -87,8 +94,12 @@
 }
 
 // pause waits after the n-th failure in a row, a little less or more each time; false if ctx ended.
-func pause(ctx context.Context, n int) bool {
-	d := min(backOff<<min(n-1, 10), backOffTop)
+func (d *discovery) pause(ctx context.Context, n int) bool {
+	return rest(ctx, min(backOff<<min(n-1, 10), backOffTop+d.turns/2))
+}
+
+// rest waits for d, or a good deal less; false if ctx ended.
+func rest(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d/2 + rand.N(d/2+1))
 	defer t.Stop()
 	select {
@@ -102,7 +113,7 @@
 // list asks for the whole list, or after a version for what is newer, waiting for it.
 func (d *discovery) list(ctx context.Context, base string, after int64) (Targets, error) {
 	var t Targets
-	url, limit := base+"/api/targets", answerTime
+	url, limit := base+"/api/targets", answerTime+d.turns
 	if after >= 0 {
 		url += fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
 		limit += watchWait
@@ -149,6 +160,9 @@
 // who asks decides when, and failures in a row are told of ever later.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
+	if d.turns > 0 && !rest(ctx, d.turns/2) {
+		return
+	}
 	for {
 		select {
 		case <-asked:
@@ -163,7 +177,7 @@
 				news(t)
 			})
 			if failures++; failures > 1 {
-				pause(here, failures-1)
+				d.pause(here, failures-1)
 			}
 			if moved = here.Err() != nil; moved {
 				failures = 0
@@ -206,7 +220,7 @@
 				told(batch)
 				break
 			}
-			if failures++; !pause(here, failures) {
+			if failures++; !rest(here, min(backOff<<min(failures-1, 10), backOffTop)) {
 				failures = 0 // it has moved
 			}
 			cancel()
--- /dev/null
+++ b/internal/sender/discovery_test.go
@@ -0,0 +1,67 @@
+package sender
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// A platform that serves many senders in turn answers late. What queues there is waited for; given up, the next
+// call would queue behind it, for ever. Where senders are few nothing queues, and silence means that it is down.
+func TestManySendersWaitForTheirTurn(t *testing.T) {
+	for name, c := range map[string]struct {
+		senders int
+		served  bool
+	}{"few": {3, false}, "many": {36, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(answerTime + answerTime/2):
+					w.Write([]byte(`{"version":7,"full":true,"servers":[]}`))
+				case <-r.Context().Done():
+				}
+			}))
+			t.Cleanup(s.Close)
+			d := newDiscovery(strings.TrimPrefix(s.URL, "http://"), c.senders)
+			list, err := d.list(context.Background(), s.URL, -1)
+			if served := err == nil && list.Version == 7; served != c.served {
+				t.Errorf("served %v: %v", served, err)
+			}
+		})
+	}
+}
+
+// After a refusal each stays away as long as all others may need, and no two for the same time.
+func TestManySendersStayAway(t *testing.T) {
+	t.Parallel()
+	calls := make(chan time.Time, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls <- time.Now()
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(s.Close)
+	d := newDiscovery(strings.TrimPrefix(s.URL, "http://"), 12)
+	ctx, cancel := context.WithCancel(context.Background())
+	asked, done := make(chan struct{}, 1), make(chan struct{})
+	asked <- struct{}{}
+	began := time.Now()
+	go func() {
+		defer close(done)
+		d.follow(ctx, -1, asked, func(Targets) {}, func(error) { asked <- struct{}{} })
+	}()
+	for range 6 {
+		st.Receive(t, calls)
+	}
+	// From the first on: the spread of the first calls, then pauses of 0.1, 0.2, 0.4, 0.8 s, each at least half.
+	if took, least := time.Since(began), d.turns/4+(backOff+2*backOff+4*backOff+8*backOff)/2; took < least {
+		t.Errorf("six calls in %v, sooner than %v", took, least)
+	}
+	cancel()
+	st.Receive(t, done)
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -109,7 +109,7 @@
 // New opens the journal, unless another process holds it; Run does the rest.
 func New(c *Config, log *slog.Logger) (*Sender, error) {
 	s := &Sender{c: c, folder: c.State, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
-		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery), events: make(chan any, eventRoom),
+		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery, c.Settings.Senders), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	s.pool.forwarded = s.figures.forwarded
