--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,6 +52,7 @@
 	askAgain    = time.Second            // pause before a failed request for the list is repeated
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
 	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
+	fewSenders  = 4                      // their idle connections hardly fill an endpoint's table; those of more are kept shorter
 	keepCut     = 4                      // idle connections are kept so many times shorter where they harm
 	keepGrow    = 0.002                  // and longer again by this part of the full time, by call served
 	never       = time.Duration(math.MaxInt64)
@@ -550,7 +551,7 @@
 // sees at one holds for the kind, as others see the same; one with many has seen for itself.
 func (b *Brain) keepFor(e *endpoint) (kept time.Duration, kind *time.Duration) {
 	for len(b.keep) <= e.Kind {
-		b.keep = append(b.keep, b.s.IdleConnections)
+		b.keep = append(b.keep, b.s.IdleConnections*fewSenders/time.Duration(max(fewSenders, b.s.Senders)))
 	}
 	kept, kind = b.s.IdleConnections, &b.keep[e.Kind]
 	if b.enough(e.route) < inRow/2 {
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -291,3 +291,35 @@
 		}
 	}
 }
+
+// An endpoint takes few connections, idle ones counted. The more senders there are the shorter each keeps its own
+// from the start: to learn it from failed connects costs each of them some.
+func TestManySendersKeepIdleConnectionsShorter(t *testing.T) {
+	for senders, want := range map[int]time.Duration{2: 10 * time.Second, 4: 10 * time.Second, 40: time.Second} {
+		s := settings()
+		s.Senders, s.IdleConnections = senders, 10*time.Second
+		r := newRig(t, s)
+		r.serve(1, 0, 50*ms)
+		idle := r.now - 20*ms
+		closed := func() bool {
+			for _, a := range r.b.Step(r.now, []Event{Alarm{}}) {
+				if _, ok := a.(CloseIdle); ok {
+					return true
+				}
+			}
+			return false
+		}
+		early, late := false, false
+		for ; r.now < idle+12*time.Second && !late; r.now += 50 * ms {
+			if c := closed(); c && r.now < idle+want {
+				early = true
+			} else if c {
+				late = true
+			}
+		}
+		// At the full time the endpoint closes them by itself.
+		if early || late != (want < s.IdleConnections) || r.now > idle+want+300*ms && late {
+			t.Errorf("%d senders: closed early %v, in time %v, at %v", senders, early, late, r.now-idle)
+		}
+	}
+}
