--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,7 @@
 	askAgain    = time.Second            // pause before a failed request for the list is repeated
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
 	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
-	fewSenders  = 4                      // whose idle connections may be kept in full: those of more fill tables
+	fewSenders  = 4                      // whose idle connections may be kept in full time
 	keepCut     = 4                      // idle connections are kept so many times shorter where they harm
 	keepGrow    = 0.002                  // and longer again by this part of the full time, by call served
 	never       = time.Duration(math.MaxInt64)
