--- a/internal/sender/admin.go
+++ b/internal/sender/admin.go
@@ -17,7 +17,8 @@
 // it answers however busy that is.
 
 const (
-	adminMost  = 64              // callers at once
+	adminMost  = 64              // callers at once; where descriptors are few, a part of those
+	adminPart  = 12
 	adminLine  = 128             // bytes of a call, its end included
 	adminTime  = 5 * time.Second // a caller may take so long to complete its call
 	adminReply = time.Second     // and to read the reply
@@ -31,13 +32,14 @@
 	dump   func(io.Writer)
 	log    *slog.Logger
 
+	most    int
 	mu      sync.Mutex
 	callers map[net.Conn]time.Time // without a whole call yet, since when
 	open    int
 }
 
-func newAdmin(log *slog.Logger, health func() error, dump func(io.Writer)) *admin {
-	return &admin{health: health, dump: dump, log: log, callers: map[net.Conn]time.Time{}}
+func newAdmin(log *slog.Logger, descriptors int, health func() error, dump func(io.Writer)) *admin {
+	return &admin{most: max(4, min(adminMost, descriptors/adminPart)), health: health, dump: dump, log: log, callers: map[net.Conn]time.Time{}}
 }
 
 // run listens until ctx ends. An address that is taken is tried again: no message should suffer for a figure.
@@ -92,7 +94,7 @@
 func (a *admin) admit(c net.Conn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.open >= adminMost {
+	if a.open >= a.most {
 		var oldest net.Conn
 		for o, since := range a.callers {
 			if oldest == nil || since.Before(a.callers[oldest]) {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -155,7 +155,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	if s.c.Admin != "" {
-		go newAdmin(s.log, s.health, s.figures.dump).run(work, s.c.Admin)
+		go newAdmin(s.log, s.c.Limits.Sockets, s.health, s.figures.dump).run(work, s.c.Admin)
 	}
 	var st *estate
 	if s.journal == nil {
