Let a peer that stops half way make room when all places are taken by such

The test fails without (no room is made). A request that has been read whole and a client's further request are never cut off. A process that takes over from another asks for the list at once, however many senders there are, as it comes alone.

--- a/internal/sender/admin.go
+++ b/internal/sender/admin.go
@@ -17,7 +17,7 @@
 // it answers however busy that is.
 
 const (
-	adminMost  = 64              // callers at once; where descriptors are few, a part of those
+	adminMost  = 64 // callers at once; where descriptors are few, a part of those
 	adminPart  = 12
 	adminLine  = 128             // bytes of a call, its end included
 	adminTime  = 5 * time.Second // a caller may take so long to complete its call
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -52,6 +52,7 @@
 type discovery struct {
 	client *http.Client
 	turns  time.Duration // that all senders need one after another
+	soon   bool          // the first call is not spread: a single process has been replaced
 	pace   time.Duration // this one's rest after a call that was work; it belongs to the watch
 
 	mu    sync.Mutex
@@ -188,7 +189,7 @@
 // who asks decides when, and failures in a row are told of ever later.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
-	if d.turns > 0 && !rest(ctx, d.turns/2) {
+	if d.turns > 0 && !d.soon && !rest(ctx, d.turns/2) {
 		return
 	}
 	for {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -244,6 +244,35 @@
 	}
 }
 
+// Where no silent peer is left to make room, one that stops in the middle of its first request does; not a request
+// that has been read whole, nor a client's further one.
+func TestHalfSpokenPeersMakeRoom(t *testing.T) {
+	t.Parallel()
+	s := newServer(&Config{Limits: Limits{Sockets: 8}}, newClock(), slog.New(slog.DiscardHandler), nil)
+	conns := map[string]net.Conn{}
+	for _, name := range []string{"client", "whole", "half"} {
+		a, b := net.Pipe()
+		t.Cleanup(func() { a.Close(); b.Close() })
+		conns[name] = a
+		s.track(a, http.StateNew)
+		s.track(a, http.StateActive)
+		if name == "client" {
+			s.track(a, http.StateIdle)
+			s.track(a, http.StateActive)
+		}
+	}
+	s.whole((&http.Request{}).WithContext(withConn(context.Background(), conns["whole"])))
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	s.track(a, http.StateNew)
+	for name, want := range map[string]bool{"client": false, "whole": false, "half": true} {
+		conns[name].SetDeadline(time.Now().Add(-time.Second))
+		if _, err := conns[name].Write([]byte{0}); !errors.Is(err, os.ErrDeadlineExceeded) != want {
+			t.Errorf("%s: closed %v", name, !want)
+		}
+	}
+}
+
 // What cannot be held is refused before it is sent, and its client is told when to come back.
 func TestNoRoomIsARefusal(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -60,10 +60,12 @@
 	mu    sync.Mutex
 	open  int
 	quiet map[net.Conn]time.Time // without a request, since when
+	half  map[net.Conn]time.Time // in the middle of their first one, since when
+	known map[net.Conn]bool      // have had an answer: a further request may not be cut off
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[net.Conn]time.Time{}}
+	s := &server{clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[net.Conn]time.Time{}, half: map[net.Conn]time.Time{}, known: map[net.Conn]bool{}}
 	s.conf.Store(c)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
@@ -74,7 +76,7 @@
 	})
 	mux.HandleFunc("GET /-/healthy", func(http.ResponseWriter, *http.Request) {})
 	s.http = &http.Server{Handler: s.header(mux), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTime, ReadTimeout: readTime,
-		IdleTimeout: idleTime, WriteTimeout: writeTime, ConnState: s.track, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		IdleTimeout: idleTime, WriteTimeout: writeTime, ConnState: s.track, ConnContext: withConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	return s
 }
 
@@ -88,8 +90,25 @@
 	return err
 }
 
+// connKey is where a request's context holds its connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// whole marks the connection of a request that has been read to its end: from here on it is owed an answer.
+func (s *server) whole(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+		s.mu.Lock()
+		delete(s.half, c)
+		s.mu.Unlock()
+	}
+}
+
 // track follows the connections. When the last place is taken, the one that has been without a request for
-// longest makes room: peers that only hold their connection must not keep those out that have something to say.
+// longest makes room, or if there is none the one that has been in the middle of its first one for longest: peers that only
+// hold their connection must not keep those out that have something to say.
 func (s *server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,25 +120,34 @@
 		}
 		s.quiet[c] = time.Now()
 	case http.StateIdle:
-		s.quiet[c] = time.Now()
+		s.quiet[c], s.known[c] = time.Now(), true
+		delete(s.half, c)
 	case http.StateActive:
 		delete(s.quiet, c)
+		if !s.known[c] {
+			s.half[c] = time.Now()
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.open--
 		delete(s.quiet, c)
+		delete(s.half, c)
+		delete(s.known, c)
 	}
 }
 
 func (s *server) evict() {
-	var oldest net.Conn
-	for c, since := range s.quiet {
-		if oldest == nil || since.Before(s.quiet[oldest]) {
-			oldest = c
+	for _, from := range []map[net.Conn]time.Time{s.quiet, s.half} {
+		var oldest net.Conn
+		for c, since := range from {
+			if oldest == nil || since.Before(from[oldest]) {
+				oldest = c
+			}
+		}
+		if oldest != nil {
+			delete(from, oldest)
+			oldest.Close()
+			return
 		}
-	}
-	if oldest != nil {
-		delete(s.quiet, oldest)
-		oldest.Close()
 	}
 }
 
@@ -164,6 +192,7 @@
 		reject(w, err, status)
 		return
 	}
+	s.whole(r)
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	// Once handed over the message may be held, so its answer is waited for even if the client goes away.
 	if !s.submit(r.Context(), *sub) {
