Where senders are many, begin watching the list at any time of all their turns

After the kill 25 senders came within 2.4 s of one another, which was more than the 2 s that the platform lets a call queue; once it refuses, what it has refused goes on costing it. Spread over the 9.6 s that all need in turn they are served one by one. A process that takes over from another still asks at once, and for up to four senders nothing changes.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -103,7 +103,12 @@
 
 // rest waits for d, or a good deal less; false if ctx ended.
 func rest(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d/2+1))
+	return wait(ctx, d/2+rand.N(d/2+1))
+}
+
+// wait waits for d; false if ctx ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -189,7 +194,8 @@
 // who asks decides when, and failures in a row are told of ever later.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
-	if d.turns > 0 && !d.soon && !rest(ctx, d.turns/2) {
+	// After a release all come at once, and what queues for too long is refused: each begins at any time of theirs.
+	if d.turns > 0 && !d.soon && !wait(ctx, rand.N(d.turns)) {
 		return
 	}
 	for {
