Of many senders only those with a large part keep idle connections in full

Ruled out: queues and limits (next to no refusals), a late list (no change yet), slow endpoints (latency as ever). At fault: keepFor and judgeServed in brain.go exempted a destination with four calls in an overload span from the kind's time, which a sender of eighty with one call a second passes: all kept theirs for 10 s. And each sender lengthened the time by 20 ms with each of its own calls, as if it were one of four.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -554,12 +554,19 @@
 		b.keep = append(b.keep, b.s.IdleConnections*fewSenders/time.Duration(max(fewSenders, b.s.Senders)))
 	}
 	kept, kind = b.s.IdleConnections, &b.keep[e.Kind]
-	if b.enough(e.route) < inRow/2 {
+	if !b.oftenHere(e.route) {
 		kept = *kind
 	}
 	return max(0, kept-e.crowded), kind
 }
 
+// oftenHere: r gets enough of our calls to judge it by them alone, and so large a part of all that it takes
+// that only a few senders can say so. Places for connections are scarce: eighty idle ones fill them.
+func (b *Brain) oftenHere(r *route) bool {
+	few := b.s.Senders <= fewSenders || r.limit > 0 && fewSenders*b.usual(r.tried) >= r.limit
+	return few && b.enough(r) >= inRow/2
+}
+
 // closeIdle shuts connections that have been idle for longer than they are kept.
 func (b *Brain) closeIdle() {
 	kept := b.idle[:0]
@@ -862,7 +869,8 @@
 		}
 		*recent += recentPer * (s - *recent)
 	}
-	more := time.Duration(keepGrow * float64(b.s.IdleConnections))
+	ours := fewSenders / float64(max(fewSenders, b.s.Senders)) // all others learn from calls of theirs
+	more := time.Duration(keepGrow * ours * float64(b.s.IdleConnections))
 	_, kind := b.keepFor(a.at)
 	*kind, a.at.crowded = min(b.s.IdleConnections, *kind+more), max(0, a.at.crowded-more)
 	// Quickly served after a try on a connection that had been idle was not: such are dropped unseen.
@@ -874,7 +882,7 @@
 	r.servedSent = max(r.servedSent, a.sent)
 	r.bad, r.lost, r.pause, r.takenBack = 0, 0, 0, 0
 	if r.state == out {
-		if b.enough(r) >= inRow/2 {
+		if b.oftenHere(r) {
 			a.at.crowded = 0 // an outage as such: its connects did not fail for a full table
 		}
 		b.warmUp(r, 0)
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -324,3 +324,39 @@
 		}
 	}
 }
+
+// Of eighty senders each that called a destination once a second kept its idle connection there in full, and they
+// took all the places that there were. Only one with a large part of the destination's traffic may.
+func TestIdleConnectionsAreForThoseWithALargePart(t *testing.T) {
+	for name, c := range map[string]struct {
+		senders int
+		every   time.Duration // between calls
+		want    bool          // kept in full
+	}{
+		"one of many":          {80, time.Second, false},
+		"much of all traffic":  {80, 80 * ms, true},
+		"one of few":           {4, time.Second, true},
+		"many, hardly a call":  {80, 20 * time.Second, false},
+		"of few, hardly a one": {4, 20 * time.Second, true},
+	} {
+		s := settings()
+		s.Senders, s.IdleConnections, s.RatedLimits, s.OverloadFor = c.senders, 10*time.Second, true, 3*time.Second
+		r := newRig(t, s)
+		r.step(ListNews{Endpoints: []Endpoint{{ID: 1, Rating: 40, Ready: true}}})
+		for end := r.now + time.Minute; r.now < end; r.now += c.every - 50*ms {
+			r.serve(1, 0, 30*ms)
+		}
+		r.serve(1, 0, 30*ms)
+		closed := false
+		for end := r.now + 5*time.Second; r.now < end; r.now += 100 * ms {
+			for _, a := range r.b.Step(r.now, []Event{Alarm{}}) {
+				if _, ok := a.(CloseIdle); ok {
+					closed = true
+				}
+			}
+		}
+		if closed == c.want {
+			t.Errorf("%s: closed within 5 s: %v", name, closed)
+		}
+	}
+}
