Many senders that are refused go down to half their part of the limit, and spread the next call

Counted over the fleet: 64 to 71 of 80 senders called it in each 2 s, hardly one more than three times; each alone was slow, with a second or more between its calls. Ruled out: an outage (it serves at once when calls fall to 32 a second), connections (none failed then), told waits (kept, all 866 ms, and no cure). At fault: refused() in brain.go held the pace up at half of even(), which among eighty is half a call a second and together the whole limit; it took a third off with each refusal, of which a sender sees one in a second; those refused at once came again at once; and the pace grew by parts of even() as well.

Now the cut is deeper the more senders there are, down to half the even part, growth goes by that part, and the next call is spread as after a failure.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -269,18 +269,20 @@
 // goOut begins an outage. Before a second one the rate was held down by us, so the higher is kept.
 func (b *Brain) goOut(r *route) {
 	if r.state == well {
-		r.before = max(b.usual(r.done), r.limit/float64(max(1, b.s.Senders)))
+		r.before = max(b.usual(r.done), b.part(r.limit))
 		if r.served > inRow { // enough of them to go by the last seconds
 			r.before = max(r.before, r.rateServed())
 		}
 		r.outAt = b.now
 	}
-	spread := float64(b.draw(1000))/1000 - 0.5 // senders that fail in step do not go on in step
-	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, spread, b.now
+	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, b.spread(), b.now
 	r.window, r.reopens = 1, 0
 	b.log(r, "out: calls fail, are refused or go unanswered; one call at a time")
 }
 
+// spread is what a route's tokens are set to when it fails: senders that fail in step do not go on in step.
+func (b *Brain) spread() float64 { return float64(b.draw(1000))/1000 - 0.5 }
+
 // ---- Step and its timer
 
 // Step takes in all events of a batch, then decides once. The actions are to be carried out in order.
@@ -808,11 +810,14 @@
 	}
 }
 
-// even is our even part of a limit; among many senders, where that is far below one call and those who have
-// messages there are few at a time, up to a call in the time over which limits are counted.
+// part is our even part of a limit.
+func (b *Brain) part(limit float64) float64 { return limit / float64(max(1, b.s.Senders)) }
+
+// even is the pace at which we begin: our even part of a limit; among many senders, where that is far below
+// one call and few have messages there at a time, up to a call in the time that limits are counted over.
 func (b *Brain) even(limit float64) float64 {
 	n := float64(max(1, b.s.Senders))
-	return min(limit, max(limit/n, min(1, n/fleetProbes)/pauseMost.Seconds()))
+	return min(limit, max(b.part(limit), min(1, n/fleetProbes)/pauseMost.Seconds()))
 }
 
 // learnLimit takes a told limit; our pace starts at an even part of it.
@@ -895,7 +900,7 @@
 		r.window = max(2, r.window-windowFade)
 	}
 	if r.limit > 0 && (e.Limit == 0 || e.Left > plenty) {
-		step := paceStep * b.even(r.limit)
+		step := paceStep * b.part(r.limit)
 		if e.Limit == 0 {
 			step *= 2 // no allowance to use up: the listed rate is a capacity
 		}
@@ -918,7 +923,13 @@
 func (b *Brain) refused(r *route, a *attempt, e AttemptEnd) {
 	b.halve(r, a.sent)
 	if r.limit > 0 {
-		r.pace = max(r.pace*paceCut, b.even(r.limit)/2)
+		// The more of us there are the less does one call tell each: all may be far above the limit, and
+		// where refused calls use it up they keep one another out. So each goes down until it drains.
+		n := float64(max(fewSenders, b.s.Senders))
+		r.pace = max(r.pace*paceCut*fewSenders/n, b.part(r.limit)/2)
+		if n > fewSenders {
+			r.tokens, r.filled = b.spread(), b.now // others were refused in the same moment
+		}
 	}
 	if e.Wait > 0 {
 		if e.Wait > b.s.OverloadFor && r.state != out {
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -360,3 +360,38 @@
 		}
 	}
 }
+
+// A limit that refused calls use up too: eighty senders that had been refused went on at half a call a second each,
+// which was all of the limit, and for seconds every call was refused.
+func TestRefusedSendersTogetherStayUnderTheLimit(t *testing.T) {
+	const senders, limit = 80, 40
+	calls := map[int]int{}
+	for seed := range uint64(senders) {
+		s := settings()
+		s.Senders, s.RatedLimits, s.OverloadFor = senders, true, 3*time.Second
+		r := newRig(t, s)
+		r.b = New(s, seed+1)
+		r.step(ListNews{Whole: true, Endpoints: []Endpoint{{ID: 1, Rating: limit, Ready: true}}})
+		first := r.step(r.message(0, 0, 0), r.message(0, 0, 0), r.message(0, 0, 0))
+		r.now += 50 * ms
+		start := r.now
+		e := r.end(first[0], Refused)
+		e.Wait = 500 * ms
+		r.step(e)
+		for ; r.now < start+8*time.Second; r.now += 50 * ms {
+			for _, s := range r.step(Alarm{}) {
+				calls[int((r.now-start)/time.Second)]++
+				r.step(r.end(s, Refused))
+			}
+		}
+	}
+	all := 0
+	for second, n := range calls {
+		if all += n; n > limit*3/4 {
+			t.Errorf("%d calls in second %d under a limit of %d", n, second, limit)
+		}
+	}
+	if all < senders/2 {
+		t.Errorf("%d calls of %d senders in 8 s", all, senders)
+	}
+}
