Where senders are many, ask for the list within 50 ms a sender of the start, not 300

At fault: follow() in discovery.go spread the first call over 0.3 s a sender, 23 s among eighty.

The rests after refusals stay as they were.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -25,9 +25,10 @@
 	// Who gives an answer up that is still queued for makes the queue longer with the next call, and nobody is
 	// served in time any more. So each waits, and stays away after a refusal, as long as so many need in turn.
 	perSender  = 300 * time.Millisecond
-	fewOfUs    = 4       // senders that need not take turns
-	noticeMost = 256     // notices in one call
-	maxList    = 8 << 20 // bytes of a list
+	perFirst   = perSender / 6 // the first call is spread over less: an old list costs calls, a refusal only a rest
+	fewOfUs    = 4             // senders that need not take turns
+	noticeMost = 256           // notices in one call
+	maxList    = 8 << 20       // bytes of a list
 )
 
 // Target is an endpoint in discovery's list.
@@ -52,7 +53,7 @@
 type discovery struct {
 	client *http.Client
 	turns  time.Duration // that all senders need one after another
-	soon   bool          // the first call is not spread: a single process has been replaced
+	first  time.Duration // before the first call; no time at all where a single process has been replaced
 	pace   time.Duration // this one's rest after a call that was work; it belongs to the watch
 
 	mu    sync.Mutex
@@ -86,8 +87,11 @@
 }
 
 func newDiscovery(addr string, senders int) *discovery {
-	turns := perSender * time.Duration(max(0, senders-fewOfUs))
-	d := &discovery{turns: turns, client: &http.Client{
+	turns, first := perSender*time.Duration(max(0, senders-fewOfUs)), time.Duration(0)
+	if turns > 0 { // after a release all come at once, and what queues for too long is refused
+		first = rand.N(turns * perFirst / perSender)
+	}
+	d := &discovery{turns: turns, first: first, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + answerTime + turns},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -194,8 +198,7 @@
 // who asks decides when, and failures in a row are told of ever later.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
-	// After a release all come at once, and what queues for too long is refused: each begins at any time of theirs.
-	if d.turns > 0 && !d.soon && !wait(ctx, rand.N(d.turns)) {
+	if d.first > 0 && !wait(ctx, d.first) {
 		return
 	}
 	for {
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -65,3 +65,26 @@
 	cancel()
 	st.Receive(t, done)
 }
+
+// After a release eighty senders work with an old list until each has had its turn: with a third of a second for each
+// that took half a minute, and a quarter of the calls went to endpoints that were gone. All come within a few
+// seconds now, but not at once; where senders are few nobody waits.
+func TestManySendersAskForTheListSoonButNotAtOnce(t *testing.T) {
+	const senders = 80
+	seconds := map[time.Duration]int{}
+	for range senders {
+		first := newDiscovery("127.0.0.1:1", senders).first
+		if first > 5*time.Second {
+			t.Errorf("a first call after %v", first)
+		}
+		seconds[first/time.Second]++
+	}
+	for second, n := range seconds {
+		if n > senders/2 {
+			t.Errorf("%d of %d first calls in second %d", n, senders, second)
+		}
+	}
+	if first := newDiscovery("127.0.0.1:1", fewOfUs).first; first != 0 {
+		t.Errorf("one of few waits for %v", first)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -172,7 +172,7 @@
 		known = -1
 	}
 	if st != nil {
-		known, s.disc.soon = st.ListVersion, true
+		known, s.disc.first = st.ListVersion, 0
 	}
 	go s.disc.follow(work, known, s.asked,
 		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
