Many senders that were told when a destination opens come one after another

Ruled out: a late list, a second shutting (no refusal came after the opening). At fault: open() in brain.go began the return with a whole token each, whatever the number of senders.

Now the first token is any part of one where senders are many; the rate at which the rest comes is what a cold destination bears.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -213,7 +213,9 @@
 		return false
 	}
 	if r.state == out && r.reopens > 0 {
-		b.warmUp(r, 1) // there is room now, as told: a probe would only cost those that wait its time
+		// There is room now, as told: a probe would only cost those that wait its time. But all were told the
+		// same, and one call each at once may be more than a cold destination bears.
+		b.warmUp(r, 1-b.many()*(b.spread()+0.5))
 		r.bad = 0
 	}
 	if r.state == out && r.probes > 0 && b.now-r.probedAt < r.patience() {
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -424,3 +424,32 @@
 		}
 	}
 }
+
+// Eighty senders told when a destination opens all came in that moment: most connects failed there, and it was taken
+// for out again for seconds. They come one after another, as it bears them, and the first of them soon.
+func TestManySendersToldOfAnOpeningComeInTurn(t *testing.T) {
+	const senders, limit, wait = 80, 70, 8 * time.Second
+	came := map[time.Duration]int{}
+	for seed := range uint64(senders) {
+		s := settings()
+		s.Senders, s.RatedLimits, s.OverloadFor = senders, true, 3*time.Second
+		r := newRig(t, s)
+		r.b = New(s, seed+1)
+		r.step(ListNews{Whole: true, Endpoints: []Endpoint{{ID: 1, Rating: limit, Ready: true}}})
+		first := r.step(r.message(0, 0, 0), r.message(0, 0, 0))
+		e := r.end(first[0], Refused)
+		e.Wait = wait
+		opens := r.now + wait
+		sent := r.step(e)
+		for ; len(sent) == 0 && r.now < opens+8*time.Second; r.now += 20 * ms {
+			sent = r.step(Alarm{})
+		}
+		if r.now < opens {
+			t.Fatalf("a call %v before the opening", opens-r.now)
+		}
+		came[(r.now-opens)/time.Second]++
+	}
+	if came[0] == 0 || came[0] > limit/2 || came[0]+came[1]+came[2]+came[3] < senders/2 {
+		t.Errorf("first calls by second after the opening: %v", came)
+	}
+}
