A number of senders or an own number that makes no sense ends the start, or is rejected at SIGHUP

Zero, negative and absurd numbers of senders and own numbers out of range were taken; a number of senders of 10^12 would have overflowed the turns' time. Now it is one plain line. Tests seen to fail without the check: five cases taken at SIGHUP, four at the start.

--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net"
@@ -332,14 +333,24 @@
 }
 
 func TestUnreadableConfigurationIsAPlainError(t *testing.T) {
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(`{"settings":{"step":"soon"}}`), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c := exec.Command(os.Args[0])
-	c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "EDGE_CONFIG="+file)
-	out, err := c.CombinedOutput()
-	if err == nil || len(out) == 0 {
-		t.Errorf("%v: %s", err, out)
+	for settings, named := range map[string]string{
+		`{"step":"soon"}`:                "setting step",
+		`{"balancers":0}`:                "balancers: 0",
+		`{"balancers":-3}`:               "balancers: -3",
+		`{"balancers":80,"slotNo":80}`:   "slotNo: 80",
+		`{"balancers":80,"slotNo":-1}`:   "slotNo: -1",
+		`{"balancers":80,"slotNo":"n1"}`: "setting slotNo",
+	} {
+		text := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":` + settings + `}`
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c := exec.Command(os.Args[0])
+		c.Env = append(os.Environ(), "SAFFRONYARD_TEST_CHILD=1", "EDGE_CONFIG="+file)
+		out, err := c.CombinedOutput()
+		if err == nil || bytes.Count(out, []byte("\n")) != 1 || !bytes.Contains(out, []byte(named)) {
+			t.Errorf("%s: %v: %s", settings, err, out)
+		}
 	}
 }
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -17,6 +17,7 @@
 
 	"dockshift.example/dockshift/brain"
 	"dockshift.example/dockshift/internal/settings"
+	"dockshift.example/dockshift/internal/wire"
 )
 
 // Limits is what the sender's machine allows it.
@@ -233,6 +234,9 @@
 	if c.Settings.MaxAttempts < 0 {
 		return nil, errors.New("limits.maxAttempts is not a positive number")
 	}
+	if err := fleet(env, c.Settings.Senders, c.Settings.Number); err != nil {
+		return nil, err
+	}
 	for i := range env.Count("orgs") {
 		c.Tenants = append(c.Tenants, env.Text(fmt.Sprintf("orgs.%d.name", i)))
 	}
@@ -257,6 +261,21 @@
 	return c, nil
 }
 
+// mostSenders is more than any fleet has. Turns among them are counted in time, which must not overflow.
+const mostSenders = 1_000_000
+
+// fleet tells what makes no sense of the number of senders and this one's own among them, where they are stated:
+// parts of limits, turns and choices of endpoints go by both.
+func fleet(env *wire.Env, senders, number int) error {
+	if stated := env.Text("balancers"); stated != "" && (senders < 1 || senders > mostSenders) {
+		return fmt.Errorf("balancers: %s is not a number of senders", stated)
+	}
+	if stated := env.Text("slotNo"); stated != "" && (number < 0 || senders > 0 && number >= senders) {
+		return fmt.Errorf("slotNo: %s is not one of %d senders, counted from 0", stated, senders)
+	}
+	return nil
+}
+
 // place is the place of a name in a list of the settings, or def if it is not there.
 func place(list []string, name string, def int) int {
 	if i := slices.Index(list, name); i >= 0 {
--- a/internal/sender/reload_test.go
+++ b/internal/sender/reload_test.go
@@ -129,6 +129,13 @@
 		"no effect":       fresh(func(c map[string]any) { delete(services(c)[1].(map[string]any), "effect") }),
 		"odd effect":      fresh(func(c map[string]any) { services(c)[3].(map[string]any)["effect"] = "sometimes" }),
 		"a name twice":    fresh(func(c map[string]any) { services(c)[3].(map[string]any)["name"] = "safe" }),
+		"no senders":      fresh(func(c map[string]any) { settings(c)["balancers"] = 0 }),
+		"senders -80":     fresh(func(c map[string]any) { settings(c)["balancers"] = -80 }),
+		"senders endless": fresh(func(c map[string]any) { settings(c)["balancers"] = 1e9 }),
+		"half a sender":   fresh(func(c map[string]any) { settings(c)["balancers"] = 2.5 }),
+		"number -1":       fresh(func(c map[string]any) { settings(c)["slotNo"] = -1 }),
+		"number too high": fresh(func(c map[string]any) { settings(c)["balancers"], settings(c)["slotNo"] = 80, 80 }),
+		"number a word":   fresh(func(c map[string]any) { settings(c)["slotNo"] = "first" }),
 		"no name":         fresh(func(c map[string]any) { delete(services(c)[3].(map[string]any), "name") }),
 	}
 	n := 0
