--- a/brain/brain.go
+++ b/brain/brain.go
@@ -815,7 +815,7 @@
 		}
 		*recent += recentPer * (s - *recent)
 	}
-	ours := fewSenders / float64(max(fewSenders, b.s.Senders)) // all others learn from calls of theirs
+	ours := math.Sqrt(fewSenders / float64(max(fewSenders, b.s.Senders))) // others add theirs
 	more := time.Duration(keepGrow * ours * float64(b.s.IdleConnections))
 	_, kind := b.keepFor(a.at)
 	*kind, a.at.crowded = min(b.s.IdleConnections, *kind+more), max(0, a.at.crowded-more)
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -453,3 +453,20 @@
 		t.Errorf("first calls by second after the opening: %v", came)
 	}
 }
+
+// One of eighty sees a hundred calls to a kind of destination in a minute. Where none of them failed to connect it has
+// to learn from those that connections may be kept, as a new one is dear; a connect that fails undoes it.
+func TestOneOfManyLearnsToKeepConnections(t *testing.T) {
+	r := fleetRig(t, 80)
+	begin, _ := r.b.keepFor(r.b.endpoints[1])
+	r.serve(100, 0, 30*ms)
+	if kept, _ := r.b.keepFor(r.b.endpoints[1]); kept < begin*3/2 {
+		t.Errorf("kept for %v after 100 served calls, %v before", kept, begin)
+	}
+	s := r.step(r.message(0, 0, 0))
+	r.now += 30 * ms
+	r.step(r.end(s[0], ConnectFailed))
+	if kept, _ := r.b.keepFor(r.b.endpoints[2]); kept > begin {
+		t.Errorf("kept for %v elsewhere after a connect that failed", kept)
+	}
+}
