--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -218,3 +218,21 @@
 		t.Errorf("the new process has no socket: %v", err)
 	}
 }
+
+// Where no Unix socket can be had the sender starts and serves all the same; only upgrades are not to be had.
+func TestNoSocketStopsNoStart(t *testing.T) {
+	t.Parallel()
+	quick := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, quick.Addr)
+	state := t.TempDir()
+	if err := socketAt(state, func(path string) error { return os.MkdirAll(path+"/taken", 0o700) }); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { socketAt(state, os.RemoveAll) })
+	addr, listen := platformSocket(t)
+	beside(t, p, state, listen)
+	st.HandIn(t, addr, "m", "unsafe", 0, 15*time.Second)
+	if c := quick.Next(t); c.ID != "m" {
+		t.Errorf("the endpoint got %s", c.ID)
+	}
+}
