Give the times that grow with the senders a ceiling: first list call within 200 ms

Every sender's log had a correct list later, and none had "discovery failed".

Cause: newDiscovery spread the first call over 50 ms a sender, 15 s at 300, and follow waits for it. What the agent holds binds at once, so whoever had not asked sent by the list of its start. list waited up to answerTime + turns, 90 s at 300, for an agent that is silent, and slowDown rested 22 to 89 s after a refusal.

Ruled out: refusals and late answers.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -24,11 +24,20 @@
 	// The platform behind the agent serves all senders of the deployment, and after a release they come at once.
 	// Who gives an answer up that is still queued for makes the queue longer with the next call, and nobody is
 	// served in time any more. So each waits, and stays away after a refusal, as long as so many need in turn.
-	perSender  = 300 * time.Millisecond
-	perFirst   = perSender / 6 // the first call is spread over less: an old list costs calls, a refusal only a rest
-	fewOfUs    = 4             // senders that need not take turns
-	noticeMost = 256           // notices in one call
-	maxList    = 8 << 20       // bytes of a list
+	perSender = 300 * time.Millisecond
+	fewOfUs   = 4 // senders that need not take turns
+	// The turns of hundreds would outlast the protocol's times, though: what the platform has to tell binds after
+	// 6 s, and 2 s after a watch's wait, whether its answer has come or not. So no answer is waited for longer, and
+	// the first rest is no longer; only further refusals lead to longer ones, as then haste would serve nobody.
+	bindsBy   = 6 * time.Second
+	watchLate = 2 * time.Second
+	restMost  = 4 * bindsBy
+	// What the agent holds already binds a sender from its start on, with the 500 ms that a drain leaves: whoever asks
+	// later than this sends by an old list. The first calls are spread no further.
+	firstMost  = 200 * time.Millisecond
+	perFirst   = perSender / 6
+	noticeMost = 256     // notices in one call
+	maxList    = 8 << 20 // bytes of a list
 )
 
 // Target is an endpoint in discovery's list.
@@ -87,12 +96,13 @@
 }
 
 func newDiscovery(addr string, senders int) *discovery {
-	turns, first := perSender*time.Duration(max(0, senders-fewOfUs)), time.Duration(0)
-	if turns > 0 { // after a release all come at once, and what queues for too long is refused
-		first = rand.N(turns * perFirst / perSender)
+	others, first := time.Duration(max(0, senders-fewOfUs)), time.Duration(0)
+	turns := min(others*perSender, restMost)
+	if turns > 0 { // after a release all come at once
+		first = rand.N(min(others*perFirst, firstMost))
 	}
 	d := &discovery{turns: turns, first: first, client: &http.Client{
-		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + answerTime + turns},
+		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + bindsBy},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}}}
@@ -125,10 +135,10 @@
 // list asks for the whole list, or after a version for what is newer, waiting for it.
 func (d *discovery) list(ctx context.Context, base string, after int64) (Targets, error) {
 	var t Targets
-	url, limit := base+"/api/targets", answerTime+d.turns
+	url, limit := base+"/api/targets", min(answerTime+d.turns, bindsBy)
 	if after >= 0 {
 		url += fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
-		limit += watchWait
+		limit = watchWait + min(limit, watchLate)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -165,7 +175,7 @@
 func (d *discovery) slowDown(err error) {
 	var refused refusedError
 	if d.turns > 0 && errors.As(err, &refused) {
-		d.pace = min(max(2*d.pace, d.turns/4), d.turns)
+		d.pace = min(max(2*d.pace, min(d.turns/4, bindsBy)), d.turns)
 	}
 }
 
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -66,25 +66,47 @@
 	st.Receive(t, done)
 }
 
-// After a release eighty senders work with an old list until each has had its turn: with a third of a second for each
-// that took half a minute, and a quarter of the calls went to endpoints that were gone. All come within a few
-// seconds now, but not at once; where senders are few nobody waits.
-func TestManySendersAskForTheListSoonButNotAtOnce(t *testing.T) {
-	const senders = 80
-	seconds := map[time.Duration]int{}
-	for range senders {
-		first := newDiscovery("127.0.0.1:1", senders).first
-		if first > 5*time.Second {
-			t.Errorf("a first call after %v", first)
+// What the agent holds binds a sender from its start on, and what drains may get calls for 500 ms more. Whoever of
+// three hundred asked after 15 s, its turn then, sent by an old list until then. Where senders are few nobody waits.
+func TestSendersAskForTheListBeforeADrainBinds(t *testing.T) {
+	for _, senders := range []int{fewOfUs + 1, 80, 300, 100_000} {
+		spread := map[time.Duration]bool{}
+		for range 100 {
+			first := newDiscovery("127.0.0.1:1", senders).first
+			if first > 200*time.Millisecond {
+				t.Fatalf("one of %d asks after %v", senders, first)
+			}
+			spread[first] = true
 		}
-		seconds[first/time.Second]++
-	}
-	for second, n := range seconds {
-		if n > senders/2 {
-			t.Errorf("%d of %d first calls in second %d", n, senders, second)
+		if len(spread) < 10 {
+			t.Errorf("%d senders ask at %d times", senders, len(spread))
 		}
 	}
 	if first := newDiscovery("127.0.0.1:1", fewOfUs).first; first != 0 {
 		t.Errorf("one of few waits for %v", first)
 	}
 }
+
+// Hundreds of senders have as little time as few: no answer is waited for past the time by which it binds, and the
+// first rest after a refusal is no longer than that either.
+func TestTimesThatGrowWithTheSendersHaveACeiling(t *testing.T) {
+	d := newDiscovery("127.0.0.1:1", 300)
+	if d.slowDown(refusedError("503")); d.pace > bindsBy {
+		t.Errorf("a rest of %v after the first refusal", d.pace)
+	}
+	for range 10 {
+		d.slowDown(refusedError("503"))
+	}
+	if d.pace > restMost {
+		t.Errorf("a rest of %v", d.pace)
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(s.Close)
+	began := time.Now()
+	if _, err := d.list(context.Background(), s.URL, 7); err == nil {
+		t.Error("an answer from an agent that is silent")
+	}
+	if took := time.Since(began); took > watchWait+watchLate+time.Second {
+		t.Errorf("%v waited for an agent that is silent", took)
+	}
+}
