Among many senders a call follows at once on a connection that has just served one

Cause: sendAll asked open(), which holds a call back by the pace (fill, about one a second), and ready(), which rests a message for 0.15 to 2.4 s after a failed connect (ended), also when a connection had become free.

Now such a connection takes the next message at once, unless calls were refused there within the overload span, or the route is out, cold, closed or has its window full. Few senders go on as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -427,19 +427,27 @@
 		if len(d.waiting) == 0 || len(d.endpoints) == 0 {
 			return
 		}
-		var usable []*endpoint
+		var usable, following []*endpoint
 		closed := d.shared != nil && !b.open(d.shared)
 		for _, e := range d.endpoints {
 			full := b.batch(e) > 1 && e.sentAt == b.now && e.calls > 0 // further sends would join that call
+			if !full && b.follows(e) {
+				following = append(following, e)
+			}
 			if !full && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
 				usable = append(usable, e)
 			}
 		}
 		for _, m := range d.waiting {
-			if !b.ready(m) {
-				continue
+			ready := b.ready(m)
+			var e *endpoint
+			if ready || m.unplaced && b.inTurn(m) {
+				e = b.pick(m, following)
+			}
+			if e == nil && ready {
+				e = b.pick(m, usable)
 			}
-			if e := b.pick(m, usable); e != nil {
+			if e != nil {
 				x := b.index(m, e.route)
 				if best := offers[i]; best.m == nil || b.precedes(m, e, x, best.m, best.index) {
 					offers[i] = offer{m, e, x}
@@ -540,6 +548,11 @@
 		b.wakeAt(m.notBefore)
 		return false
 	}
+	return b.inTurn(m)
+}
+
+// inTurn: no other message of m's key goes first.
+func (b *Brain) inTurn(m *message) bool {
 	if t := m.turn; t != nil {
 		if t.queue[0] != m {
 			return false
@@ -587,6 +600,7 @@
 	if e.calls == 0 && e.idleAt > 0 && b.now < e.idleAt+b.s.IdleConnections {
 		c.idle = b.now - e.idleAt
 	}
+	follows := b.follows(e)
 	b.calls++
 	r.calls++
 	e.calls++
@@ -595,7 +609,12 @@
 		r.probes++
 		r.probedAt = b.now
 	}
-	r.tokens--
+	if follows {
+		e.freed--
+		r.tokens -= min(1, max(0, r.tokens)) // what it does not wait for it does not take from those that do
+	} else {
+		r.tokens--
+	}
 	r.tried.add(b.now, arrivalSpan)
 	r.sentAt = b.now
 	r.unanswered = append(r.unanswered, c)
@@ -702,6 +721,12 @@
 			b.takenBack--
 		}
 		a.at.calls--
+		if e.Outcome == Served {
+			if a.at.freedAt < b.now {
+				a.at.freedAt, a.at.freed = b.now, 0
+			}
+			a.at.freed++
+		}
 		if a.at.calls == 0 {
 			if a.at.idleAt = b.now; !slices.Contains(b.idle, a.at) {
 				b.idle = append(b.idle, a.at)
@@ -739,7 +764,7 @@
 		return
 	}
 	if m.out == 0 {
-		m.dest.waiting = append(m.dest.waiting, m)
+		m.dest.waiting, m.unplaced = append(m.dest.waiting, m), e.Outcome == ConnectFailed
 		if e.Outcome != TimedOut && !dropped {
 			m.notBefore = b.now + retryPause<<min(len(m.attempts)-1, 4)
 		}
@@ -863,6 +888,7 @@
 // refused closes the route for the told wait, or for a growing pause if none was told.
 func (b *Brain) refused(r *route, a *attempt, e AttemptEnd) {
 	b.halve(r, a.sent)
+	r.refusedAt = b.now
 	if r.limit > 0 {
 		// The more of us there are the less does one call tell each: all may be far above the limit, and
 		// where refused calls use it up they keep one another out. So each goes down until it drains.
--- a/brain/fleet.go
+++ b/brain/fleet.go
@@ -90,3 +90,13 @@
 	few := b.s.Senders <= fewSenders || r.limit > 0 && fewSenders*b.usual(r.tried) >= r.limit
 	return few && b.enough(r) >= inRow/2
 }
+
+// follows: the next call to e may go on a connection that has just served one. It takes that one's place, so
+// that e has no more at once than before, and where places are scarce there is hardly another: neither pace
+// nor the rest after a failed connect is of use. Not where calls are refused, as there they are counted.
+func (b *Brain) follows(e *endpoint) bool {
+	r := e.route
+	mayCall := r.state == well && b.now >= r.closedUntil && r.calls < b.cap(r)
+	freed := b.many() > 0 && e.freed > 0 && e.freedAt == b.now
+	return freed && mayCall && b.now-r.refusedAt > b.s.OverloadFor
+}
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -470,3 +470,61 @@
 		t.Errorf("kept for %v elsewhere after a connect that failed", kept)
 	}
 }
+
+// Of 3,450 connects that failed in 5 s of a calm day of 300 senders, most were at destinations that were full, while the
+// calls served there left their connections unused: who had more to send was held back by its pace or its rest.
+func TestACallFollowsOnTheConnectionThatServed(t *testing.T) {
+	s, list := many(300)
+	t.Run("past the rest after a connect that failed", func(t *testing.T) {
+		r := newRig(t, s)
+		r.step(list)
+		r.serve(3, 0, 60*ms)
+		first, other := r.step(r.message(0, 0, 0))[0], r.step(r.message(0, 0, 0))[0]
+		r.now += 50 * ms
+		if sends := r.step(r.end(other, ConnectFailed)); len(sends) != 0 {
+			t.Fatalf("%v goes out at once after a connect that failed", sends)
+		}
+		r.now += 10 * ms
+		if sends := r.step(r.end(first, Served)); len(sends) != 1 || sends[0].Message != other.Message {
+			t.Errorf("after a call that was served %v goes out, not the message without a place", sends)
+		}
+	})
+	s.RatedLimits = true
+	list.Endpoints[0].Rating = 30
+	t.Run("past the pace", func(t *testing.T) {
+		r := newRig(t, s)
+		r.step(list)
+		sends := r.step(r.message(0, 0, 0), r.message(0, 0, 0), r.message(0, 0, 0))
+		for n := range 3 {
+			if len(sends) != 1 {
+				t.Fatalf("%d calls at once after %d", len(sends), n)
+			}
+			r.now += 60 * ms
+			sends = r.step(r.end(sends[0], Served))
+		}
+	})
+}
+
+// Where calls are refused they are counted, and what follows keeps to the pace.
+func TestNoCallFollowsWhereCallsAreRefused(t *testing.T) {
+	s, list := many(300)
+	s.RatedLimits = true
+	list.Endpoints[0].Rating = 3000
+	r := newRig(t, s)
+	r.step(list)
+	r.step(r.end(r.step(r.message(0, 0, 0))[0], Refused))
+	r.step(r.message(0, 0, 0))
+	var sends []Send
+	for range 100 {
+		if r.now += 10 * ms; len(sends) == 0 {
+			sends = r.step(Alarm{})
+		}
+	}
+	if len(sends) != 1 {
+		t.Fatalf("%d calls in a second", len(sends))
+	}
+	r.now = r.sentAt[sends[0].Message] + 10*ms
+	if next := r.step(r.end(sends[0], Served)); len(next) != 0 {
+		t.Errorf("%v follows", next)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -53,6 +53,7 @@
 	halvedAt    time.Duration
 	closedUntil time.Duration // told to wait, or paused
 	pause       time.Duration
+	refusedAt   time.Duration
 	reopens     time.Duration // told in an outage that it is over then, 0 if not
 	fails       float64       // mean share of failed calls
 	bad         int           // calls in a row that were not served
@@ -80,7 +81,7 @@
 }
 
 func (b *Brain) newRoute(id uint32) *route {
-	r := &route{name: id, window: 1, tokens: 1, filled: b.now, lastServed: b.now, logged: -never / 2}
+	r := &route{name: id, window: 1, tokens: 1, filled: b.now, lastServed: b.now, refusedAt: -never / 2, logged: -never / 2}
 	b.routes = append(b.routes, r)
 	return r
 }
@@ -95,6 +96,8 @@
 	missed  time.Duration // the last connect that failed
 	crowded time.Duration // by so much its idle connections are kept shorter than its kind's
 	idleAt  time.Duration // since then there is no call to it, 0 if no connection may be open
+	freedAt time.Duration // last time that a call was served, and
+	freed   int           // so many connections it left then that have had no further call
 }
 
 type destination struct {
@@ -137,6 +140,7 @@
 	firstRun  time.Duration // first send that may have run
 	ranZone   int
 	notBefore time.Duration
+	unplaced  bool // its last attempt found no place for a connection
 	turn      *turn
 }
 
