Reset the connection of an abandoned call, so that what it wrote never arrives late

Ruled out: ids handed in twice (none over 300 logs), calls out past their message's end (none).

Cause: conn.drop closed in order, so what a cut-off endpoint had not received yet still went out afterwards.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -51,8 +51,13 @@
 	stop  func() bool   // lets go of the context of the call; false if that has cut it off
 }
 
+// drop ends a connection whose call is abandoned. What it has written and the other side, cut off, has not received is
+// thrown away: it would arrive when the cut ends, after its message's end.
 func (c *conn) drop() {
 	c.stop()
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
 	c.Close()
 }
 
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -353,3 +353,29 @@
 		t.Errorf("%d idle connections where none may be kept, counted %d", len(at.idle), p.idle.Load())
 	}
 }
+
+// What an abandoned call has written must not arrive later: its connection is reset, not ended in order.
+func TestAnAbandonedCallResetsItsConnection(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, err = io.Copy(io.Discard, c)
+			c.Close()
+		}
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	p := newPool(&Config{ConnectTimeout: time.Second, Limits: Limits{Sockets: 64}})
+	p.call(ctx, &endpoint{addr: l.Addr().String()}, record{ID: "id"}, 50*time.Millisecond)
+	if err := st.Receive(t, ended); err == nil {
+		t.Error("the connection ended in order")
+	}
+}
