Leave a message that has ended out of a shared call that is not written yet

Ruled out there: single calls (none written after its end), notices (none told 0.1 s late, no post failed), missing ends (none), a client's answer cut (each message taken has its answer line).

Cause: Sender.call ends a message whose own time-out is up while the call goes on for the others (loop.go, the timers "alone"), and pool.callMany rendered all items once exchange had its connection, however long that took.

Now timer and writer settle it between them, and who is left out has surely never run.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -185,8 +185,13 @@
 	attempt int
 	timeout time.Duration
 	last    bool // its time is up with the time-out: it will not be sent again
+	decided *atomic.Bool
 }
 
+// claim settles whether the message goes along in its call's bytes or ends before they are written, for whoever comes
+// first: the bytes may have to wait for a connection, and its time may be up meanwhile.
+func (it item) claim() bool { return it.decided.CompareAndSwap(false, true) }
+
 // callEnd is how a call ended for some of its messages.
 type callEnd struct {
 	ends []itemEnd
@@ -225,8 +230,9 @@
 // counts each call whose last byte has come. ctx ends it early, its deadline being the time-out.
 func (p *pool) call(ctx context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
 	end := brain.AttemptEnd{Endpoint: e.number}
-	resp, c, outcome := p.exchange(ctx, e, 1, func(addr string) ([]byte, error) {
-		return request(addr, "/hook", "", m, m.Body, timeout)
+	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, int, error) {
+		out, err := request(addr, "/hook", "", m, m.Body, timeout)
+		return out, 1, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -251,29 +257,39 @@
 	Body []byte `json:"body"`
 }
 
-// callMany makes one attempt with several messages, which share its fate unless the answer tells each one's.
+// callMany makes one attempt with several messages, which share its fate unless the answer tells each one's. Those
+// that have ended before it is written are left out.
 func (p *pool) callMany(ctx context.Context, e *endpoint, items []item, timeout time.Duration) []brain.AttemptEnd {
-	ends := make([]brain.AttemptEnd, len(items))
+	ends, aboard := make([]brain.AttemptEnd, len(items)), make([]bool, len(items))
 	all := func(end brain.AttemptEnd) []brain.AttemptEnd {
 		for i := range ends {
-			ends[i] = end
+			if ends[i] = end; !aboard[i] {
+				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
+			}
 		}
 		return ends
 	}
 	end := brain.AttemptEnd{Endpoint: e.number}
-	resp, c, outcome := p.exchange(ctx, e, len(items), func(addr string) ([]byte, error) {
-		parts := make([]part, len(items))
+	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, int, error) {
+		var parts []part
 		for i, it := range items {
-			parts[i] = part{it.ID, it.Key, it.Body}
+			if aboard[i] = it.claim(); !aboard[i] {
+				continue
+			}
 			if it.Body == nil {
-				parts[i].Body = []byte{}
+				it.Body = []byte{}
 			}
+			parts = append(parts, part{it.ID, it.Key, it.Body})
+		}
+		if len(parts) == 0 {
+			return nil, 0, errNobody
 		}
 		body, err := json.Marshal(parts)
 		if err != nil {
-			return nil, err
+			return nil, 0, err
 		}
-		return request(addr, "/hook/batch", "application/json", record{}, body, timeout)
+		out, err := request(addr, "/hook/batch", "application/json", record{}, body, timeout)
+		return out, len(parts), err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -311,6 +327,9 @@
 		states[t.ID] = t.State
 	}
 	for i, it := range items {
+		if !aboard[i] {
+			continue
+		}
 		switch states[it.ID] {
 		case "ok":
 			ends[i].Outcome, ends[i].Over = brain.Served, true
@@ -325,17 +344,20 @@
 	return ends
 }
 
-// exchange writes one request and reads the head of its answer. Without an answer that can be read it closes
+var errNobody = errors.New("no message is left for this call")
+
+// exchange writes one request, rendered with its number of messages once there is a connection, and reads the head of
+// its answer. Without an answer that can be read it closes
 // the connection, which it returns if the request was written, and tells the outcome: Served if the first line
 // says so.
-func (p *pool) exchange(ctx context.Context, e *endpoint, messages int, render func(addr string) ([]byte, error)) (*http.Response, *conn, brain.Outcome) {
+func (p *pool) exchange(ctx context.Context, e *endpoint, render func(addr string) ([]byte, int, error)) (*http.Response, *conn, brain.Outcome) {
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
 	c, err := p.get(ctx, e)
 	if err != nil {
 		return nil, nil, brain.ConnectFailed
 	}
 	c.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	out, err := render(c.addr)
+	out, messages, err := render(c.addr)
 	if err == nil {
 		_, err = c.Write(out)
 	}
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -190,6 +192,9 @@
 			ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
 			defer cancel()
 			items := []item{{record: record{ID: "a", Key: "k", Body: []byte{0, 255, '"'}}}, {record: record{ID: "b"}}, {record: record{ID: "c"}}}
+			for i := range items {
+				items[i].decided = new(atomic.Bool)
+			}
 			got := testPool().callMany(ctx, &endpoint{addr: e.Addr}, items, st.Wait)
 			if !slices.Equal(got, c.want) {
 				t.Errorf("got %+v, want %+v", got, c.want)
@@ -379,3 +384,33 @@
 		t.Error("the connection ended in order")
 	}
 }
+
+// A call's bytes wait for a connection. A message whose time is up by then has ended, and is not written any more: the
+// call goes on without it.
+func TestAMessageThatEndsBeforeItsSharedCallIsWrittenIsLeftOut(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Text(200, `[{"id":"b","state":"ok"},{"id":"a","state":"ok"}]`))
+	s := newTest(t, st.NewPlatform(t, e.Addr), nil)
+	up := make(chan struct{})
+	s.pool.connectTimeout = st.Wait
+	s.pool.dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+	var items []item
+	for id, timeout := range map[string]time.Duration{"a": 10 * time.Millisecond, "b": st.Wait} {
+		m := &message{stored: &stored{record: record{ID: id}}, calls: map[int]*outCall{}}
+		items = append(items, item{record: m.record, message: m, timeout: timeout, last: true})
+	}
+	s.call(context.Background(), &endpoint{addr: e.Addr, most: len(items)}, items, true)
+	alone := st.Receive(t, s.events).(callEnd)
+	if end := alone.ends[0]; alone.over || end.message.ID != "a" || end.Outcome != brain.ConnectFailed {
+		t.Errorf("first ends %s: %+v", end.message.ID, alone)
+	}
+	close(up)
+	if parts := e.Next(t).Parts(t); len(parts) != 1 || parts[0].ID != "b" {
+		t.Errorf("the endpoint got %+v", parts)
+	}
+	for _, end := range st.Receive(t, s.events).(callEnd).ends {
+		if want := map[string]brain.Outcome{"a": brain.ConnectFailed, "b": brain.Served}[end.message.ID]; end.Outcome != want {
+			t.Errorf("%s ended as %d, want %d", end.message.ID, end.Outcome, want)
+		}
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -743,11 +743,12 @@
 // its messages may have run.
 //
 // Each message has a time-out of its own. One whose time is up then ends alone, and the call goes on for the
-// others. Any other time-out ends the call: the message may be sent again at once, and two copies of it must
+// others: without it, if it has not been written yet, as an ended message is not sent any more. Any other time-out ends the call: the message may be sent again at once, and two copies of it must
 // not be out together.
 func (s *Sender) call(ctx context.Context, e *endpoint, items []item, written bool) {
 	timeout, cut := time.Duration(0), time.Duration(math.MaxInt64)
-	for _, it := range items {
+	for i, it := range items {
+		items[i].decided = new(atomic.Bool)
 		timeout = max(timeout, it.timeout)
 		if !it.last {
 			cut = min(cut, it.timeout)
@@ -767,6 +768,9 @@
 		if it.timeout < timeout {
 			alone = append(alone, time.AfterFunc(it.timeout, func() {
 				end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.TimedOut, Elapsed: time.Since(began)}
+				if it.claim() {
+					end.Outcome = brain.ConnectFailed // no connection has come up for it
+				}
 				s.post(ctx, callEnd{ends: []itemEnd{{it.message, it.attempt, end}}})
 			}))
 		}
