Begin no call whose bytes could not arrive in time: the module tells each send's latest beginning

Cause: the module sends nothing with less time left than the quickest call served there (expire), but the time that a connection takes to come up ran after that decision (pool.exchange: get, then write, with the call's time-out alone).

Now Send carries the latest beginning, the same bound as in expire, for a keyed repeat that of its window too, and the sender breaks off a connect and leaves a message out of a shared call by it.

--- a/brain/api.go
+++ b/brain/api.go
@@ -183,11 +183,13 @@
 // Action is one of Send, Refuse, Fail, Cancel, CloseIdle, SetAlarm, WatchList and Log.
 type Action interface{ action() }
 
-// Send calls an endpoint with a message and gives the attempt up after Timeout.
+// Send calls an endpoint with a message and gives the attempt up after Timeout. A call that has to wait for its
+// connection is begun within Begin or not at all: what is written later would arrive too late.
 type Send struct {
 	Message  MessageID
 	Endpoint EndpointID
 	Timeout  time.Duration
+	Begin    time.Duration
 }
 
 // Refuse ends a message and tells its client that trying again, after HoldOff, is harmless.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -311,6 +311,16 @@
 	return m.class.Effect == Keyed && at+b.s.Step+m.route().quickest < m.firstRun+m.class.KeyWindow
 }
 
+// lastBegin is the latest time at which a call of m to r may begin: it takes as long as the quickest one
+// served there, and has to be over at m's deadline, or a repeat while m's key is remembered.
+func (b *Brain) lastBegin(m *message, r *route) time.Duration {
+	last := m.Deadline - max(r.quickest, b.s.Step)
+	if m.mayRun && m.class.Effect == Keyed {
+		last = min(last, m.firstRun+m.class.KeyWindow-r.quickest-b.s.Step)
+	}
+	return last
+}
+
 // expire fails what cannot be served any more, in time: too little time left for the quickest call
 // served there, no attempt left, or a repeat that would not be lawful.
 func (b *Brain) expire() {
@@ -318,16 +328,13 @@
 		if m.out > 0 {
 			continue
 		}
-		last := m.Deadline - max(m.route().quickest, b.s.Step)
+		last := b.lastBegin(m, m.route())
 		spent := m.most > 0 && m.tries() >= m.most
 		if b.now >= last || spent || !b.mayRepeat(m, b.now) {
 			b.acts = append(b.acts, Fail{m.ID})
 			b.close(m)
 			continue
 		}
-		if m.mayRun && m.class.Effect == Keyed {
-			last = min(last, m.firstRun+m.class.KeyWindow-m.route().quickest-b.s.Step)
-		}
 		b.wakeAt(last)
 	}
 	for len(b.resting) > 0 && (len(b.resting[0].queue) > 0 || b.resting[0].restUntil <= b.now) {
@@ -666,6 +673,7 @@
 			a.timeout, a.uncut = tau, false
 		}
 	}
+	begin := b.lastBegin(m, r) - b.now
 	if !m.mayRun {
 		m.mayRun, m.firstRun, m.ranZone = true, b.now, c.at.Zone
 	}
@@ -674,7 +682,7 @@
 	c.left++
 	c.messages = append(c.messages, m)
 	m.dest.waiting = without(m.dest.waiting, m)
-	b.acts = append(b.acts, Send{m.ID, c.at.ID, a.timeout})
+	b.acts = append(b.acts, Send{m.ID, c.at.ID, a.timeout, max(0, begin)})
 }
 
 // patience is how old an unanswered call may be before it counts as silence. Calls that came back from
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -218,6 +218,24 @@
 	}
 }
 
+// A call may wait for its connection. It is begun while the quickest call served there would still be in time, or not
+// at all, and a keyed repeat while its key is remembered.
+func TestACallHasALatestBeginning(t *testing.T) {
+	r := newRig(t, settings())
+	r.serve(3, 0, 200*ms)
+	first := r.step(r.message(1, 0, 0))[0]
+	if want := 20*time.Second - 200*ms; first.Begin != want {
+		t.Errorf("a message with 20 s left begins within %v, want %v", first.Begin, want)
+	}
+	r.now += time.Second
+	r.step(r.end(first, Broken))
+	r.now += time.Second
+	again := r.step(Alarm{})[0]
+	if want := 4*time.Second - 200*ms - 5*ms; again.Begin != want {
+		t.Errorf("a keyed repeat begins within %v, want %v", again.Begin, want)
+	}
+}
+
 // Input that makes no sense: no panic, no message lost, one lawful answer each.
 func TestInputThatMakesNoSense(t *testing.T) {
 	bad := math.NaN()
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -184,13 +184,21 @@
 	message *message
 	attempt int
 	timeout time.Duration
-	last    bool // its time is up with the time-out: it will not be sent again
-	decided *atomic.Bool
+	begin   time.Duration // it is not written later than this
+	by      time.Time     // the same as a time
+	last    bool          // its time is up with the time-out: it will not be sent again
+	place   *atomic.Int32 // open, aboard or left: the bytes may have to wait for a connection, and its time be up first
 }
 
-// claim settles whether the message goes along in its call's bytes or ends before they are written, for whoever comes
-// first: the bytes may have to wait for a connection, and its time may be up meanwhile.
-func (it item) claim() bool { return it.decided.CompareAndSwap(false, true) }
+// Whether an item goes along in its call's bytes or ends before they are written is settled by who comes first.
+const (
+	open int32 = iota
+	aboard
+	left
+)
+
+func (it item) board() bool { return it.place.CompareAndSwap(open, aboard) }
+func (it item) leave() bool { return it.place.CompareAndSwap(open, left) }
 
 // callEnd is how a call ended for some of its messages.
 type callEnd struct {
@@ -227,12 +235,13 @@
 }
 
 // call makes one attempt with one message and says how it ended. It never makes a second one: an endpoint
-// counts each call whose last byte has come. ctx ends it early, its deadline being the time-out.
-func (p *pool) call(ctx context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
+// counts each call whose last byte has come. ctx ends it early, its deadline being the time-out; begin does until the
+// last byte is written.
+func (p *pool) call(ctx, begin context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
 	end := brain.AttemptEnd{Endpoint: e.number}
-	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, int, error) {
+	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
 		out, err := request(addr, "/hook", "", m, m.Body, timeout)
-		return out, 1, err
+		return rendered{text: out, messages: 1}, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -259,37 +268,41 @@
 
 // callMany makes one attempt with several messages, which share its fate unless the answer tells each one's. Those
 // that have ended before it is written are left out.
-func (p *pool) callMany(ctx context.Context, e *endpoint, items []item, timeout time.Duration) []brain.AttemptEnd {
-	ends, aboard := make([]brain.AttemptEnd, len(items)), make([]bool, len(items))
+func (p *pool) callMany(ctx, begin context.Context, e *endpoint, items []item, timeout time.Duration) []brain.AttemptEnd {
+	ends := make([]brain.AttemptEnd, len(items))
 	all := func(end brain.AttemptEnd) []brain.AttemptEnd {
 		for i := range ends {
-			if ends[i] = end; !aboard[i] {
+			if ends[i] = end; items[i].place.Load() != aboard {
 				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
 			}
 		}
 		return ends
 	}
 	end := brain.AttemptEnd{Endpoint: e.number}
-	resp, c, outcome := p.exchange(ctx, e, func(addr string) ([]byte, int, error) {
+	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
 		var parts []part
-		for i, it := range items {
-			if aboard[i] = it.claim(); !aboard[i] {
+		var by time.Time
+		for _, it := range items {
+			if !it.board() {
 				continue
 			}
 			if it.Body == nil {
 				it.Body = []byte{}
 			}
 			parts = append(parts, part{it.ID, it.Key, it.Body})
+			if by.IsZero() || it.by.Before(by) {
+				by = it.by
+			}
 		}
 		if len(parts) == 0 {
-			return nil, 0, errNobody
+			return rendered{}, errNobody
 		}
 		body, err := json.Marshal(parts)
 		if err != nil {
-			return nil, 0, err
+			return rendered{}, err
 		}
 		out, err := request(addr, "/hook/batch", "application/json", record{}, body, timeout)
-		return out, len(parts), err
+		return rendered{out, len(parts), by}, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -327,7 +340,7 @@
 		states[t.ID] = t.State
 	}
 	for i, it := range items {
-		if !aboard[i] {
+		if it.place.Load() != aboard {
 			continue
 		}
 		switch states[it.ID] {
@@ -344,28 +357,40 @@
 	return ends
 }
 
+// rendered is a call as it is written.
+type rendered struct {
+	text     []byte
+	messages int
+	by       time.Time // its last byte is written by then or never; the zero time for no bound
+}
+
 var errNobody = errors.New("no message is left for this call")
 
-// exchange writes one request, rendered with its number of messages once there is a connection, and reads the head of
-// its answer. Without an answer that can be read it closes
+// exchange writes one request, rendered once there is a connection, and reads the head of its answer. Without an answer that can be read it closes
 // the connection, which it returns if the request was written, and tells the outcome: Served if the first line
 // says so.
-func (p *pool) exchange(ctx context.Context, e *endpoint, render func(addr string) ([]byte, int, error)) (*http.Response, *conn, brain.Outcome) {
+func (p *pool) exchange(ctx, begin context.Context, e *endpoint, render func(addr string) (rendered, error)) (*http.Response, *conn, brain.Outcome) {
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
-	c, err := p.get(ctx, e)
+	c, err := p.get(begin, e)
 	if err != nil {
 		return nil, nil, brain.ConnectFailed
 	}
-	c.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	out, messages, err := render(c.addr)
-	if err == nil {
-		_, err = c.Write(out)
+	out, err := render(c.addr)
+	if err != nil || begin.Err() != nil { // the connection has come too late for this call, but a further one may use it
+		p.put(e, c)
+		return nil, nil, brain.ConnectFailed
 	}
-	if err != nil {
+	by, _ := begin.Deadline()
+	if !out.by.IsZero() {
+		by = out.by
+	}
+	c.SetWriteDeadline(by)
+	c.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	if _, err = c.Write(out.text); err != nil {
 		c.drop()
 		return nil, nil, brain.ConnectFailed
 	}
-	p.forwarded(messages)
+	p.forwarded(out.messages)
 	c.calls++
 	c.first, c.room = c.first[:0], maxAnswer
 	resp, err := answer(c.r)
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -23,7 +23,7 @@
 func callOnce(p *pool, e *endpoint, timeout time.Duration, body string) brain.AttemptEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return p.call(ctx, e, record{ID: "id", Key: "key", Body: []byte(body)}, timeout)
+	return p.call(ctx, ctx, e, record{ID: "id", Key: "key", Body: []byte(body)}, timeout)
 }
 
 func TestOutcomes(t *testing.T) {
@@ -193,9 +193,9 @@
 			defer cancel()
 			items := []item{{record: record{ID: "a", Key: "k", Body: []byte{0, 255, '"'}}}, {record: record{ID: "b"}}, {record: record{ID: "c"}}}
 			for i := range items {
-				items[i].decided = new(atomic.Bool)
+				items[i].place = new(atomic.Int32)
 			}
-			got := testPool().callMany(ctx, &endpoint{addr: e.Addr}, items, st.Wait)
+			got := testPool().callMany(ctx, ctx, &endpoint{addr: e.Addr}, items, st.Wait)
 			if !slices.Equal(got, c.want) {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
@@ -285,7 +285,7 @@
 	st.Receive(t, closed)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan brain.AttemptEnd, 1)
-	go func() { ended <- p.call(ctx, at, record{ID: "id"}, st.Wait) }()
+	go func() { ended <- p.call(ctx, ctx, at, record{ID: "id"}, st.Wait) }()
 	e.Next(t)
 	e.Next(t)
 	cancel()
@@ -379,25 +379,33 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	p := newPool(&Config{ConnectTimeout: time.Second, Limits: Limits{Sockets: 64}})
-	p.call(ctx, &endpoint{addr: l.Addr().String()}, record{ID: "id"}, 50*time.Millisecond)
+	p.call(ctx, ctx, &endpoint{addr: l.Addr().String()}, record{ID: "id"}, 50*time.Millisecond)
 	if err := st.Receive(t, ended); err == nil {
 		t.Error("the connection ended in order")
 	}
 }
 
-// A call's bytes wait for a connection. A message whose time is up by then has ended, and is not written any more: the
-// call goes on without it.
+// A call's bytes wait for a connection. A message that could not arrive in time any more by then has ended, and is not
+// written: the call goes on without it.
 func TestAMessageThatEndsBeforeItsSharedCallIsWrittenIsLeftOut(t *testing.T) {
 	t.Parallel()
+	for name, short := range map[string]item{"time up": {timeout: 10 * time.Millisecond},
+		"too late to begin": {begin: 10 * time.Millisecond, timeout: st.Wait}} {
+		t.Run(name, func(t *testing.T) { leftOut(t, short) })
+	}
+}
+
+func leftOut(t *testing.T, short item) {
 	e := st.NewEndpoint(t, st.Text(200, `[{"id":"b","state":"ok"},{"id":"a","state":"ok"}]`))
 	s := newTest(t, st.NewPlatform(t, e.Addr), nil)
 	up := make(chan struct{})
 	s.pool.connectTimeout = st.Wait
 	s.pool.dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
 	var items []item
-	for id, timeout := range map[string]time.Duration{"a": 10 * time.Millisecond, "b": st.Wait} {
-		m := &message{stored: &stored{record: record{ID: id}}, calls: map[int]*outCall{}}
-		items = append(items, item{record: m.record, message: m, timeout: timeout, last: true})
+	for id, it := range map[string]item{"a": short, "b": {timeout: st.Wait}} {
+		it.message = &message{stored: &stored{record: record{ID: id}}, calls: map[int]*outCall{}}
+		it.record, it.last = it.message.record, true
+		items = append(items, it)
 	}
 	s.call(context.Background(), &endpoint{addr: e.Addr, most: len(items)}, items, true)
 	alone := st.Receive(t, s.events).(callEnd)
@@ -414,3 +422,23 @@
 		}
 	}
 }
+
+// What cannot arrive in time is not begun, though its time-out is not up: the connection is not waited for any longer.
+func TestACallIsNotBegunTooLate(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p, at := testPool(), &endpoint{addr: e.Addr}
+	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+	defer cancel()
+	begin, late := context.WithCancel(ctx)
+	p.dialer.Control = func(string, string, syscall.RawConn) error { late(); return nil }
+	if got := p.call(ctx, begin, at, record{ID: "late"}, st.Wait); got.Outcome != brain.ConnectFailed {
+		t.Errorf("begun too late: %+v", got)
+	}
+	if got := callOnce(p, at, st.Wait, "next"); got.Outcome != brain.Served {
+		t.Errorf("the next call: %+v", got)
+	}
+	if c := e.Next(t); c.Body != "next" {
+		t.Errorf("the endpoint got %+v", c)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -724,7 +724,7 @@
 		if m == nil || e == nil {
 			continue
 		}
-		it := item{record: m.record, message: m, attempt: m.sends, timeout: a.Timeout, last: now+a.Timeout >= m.Deadline}
+		it := item{record: m.record, message: m, attempt: m.sends, timeout: a.Timeout, begin: max(1, now+a.Begin-s.clock.now()), last: now+a.Timeout >= m.Deadline}
 		m.sends++
 		size := base64.StdEncoding.EncodedLen(len(m.Body)) + len(m.ID) + len(m.Key) + 64
 		c := open[e]
@@ -743,19 +743,25 @@
 // its messages may have run.
 //
 // Each message has a time-out of its own. One whose time is up then ends alone, and the call goes on for the
-// others: without it, if it has not been written yet, as an ended message is not sent any more. Any other time-out ends the call: the message may be sent again at once, and two copies of it must
-// not be out together.
+// others; so does one for which no connection has come up by the time that its call must begin, and the call is then
+// written without it. Any other time-out ends the call: the message may be sent again at once, and two copies of it
+// must not be out together.
 func (s *Sender) call(ctx context.Context, e *endpoint, items []item, written bool) {
-	timeout, cut := time.Duration(0), time.Duration(math.MaxInt64)
-	for i, it := range items {
-		items[i].decided = new(atomic.Bool)
-		timeout = max(timeout, it.timeout)
+	timeout, latest, cut := time.Duration(0), time.Duration(0), time.Duration(math.MaxInt64)
+	for i := range items {
+		it := &items[i]
+		it.place = new(atomic.Int32)
+		if it.begin <= 0 || it.begin > it.timeout {
+			it.begin = it.timeout
+		}
+		timeout, latest = max(timeout, it.timeout), max(latest, it.begin)
 		if !it.last {
 			cut = min(cut, it.timeout)
 		}
 	}
 	timeout = min(timeout, cut)
 	call, cancel := context.WithTimeout(ctx, timeout)
+	begin, withhold := context.WithTimeout(call, latest)
 	s.numbered++
 	for _, it := range items {
 		it.message.calls[it.attempt] = &outCall{number: s.numbered, endpoint: e.number, timeout: it.timeout, cancel: cancel}
@@ -764,19 +770,31 @@
 	s.shared += len(items) - 1
 	began := time.Now()
 	var alone []*time.Timer
-	for _, it := range items {
+	endAlone := func(it item, outcome brain.Outcome) {
+		end := brain.AttemptEnd{Endpoint: e.number, Outcome: outcome, Elapsed: time.Since(began)}
+		s.post(ctx, callEnd{ends: []itemEnd{{it.message, it.attempt, end}}})
+	}
+	for i := range items {
+		it := &items[i]
+		it.by = began.Add(it.begin)
+		if it.begin < latest || it.timeout < timeout {
+			alone = append(alone, time.AfterFunc(it.begin, func() {
+				if it.leave() {
+					endAlone(*it, brain.ConnectFailed) // no connection has come up for it
+				}
+			}))
+		}
 		if it.timeout < timeout {
 			alone = append(alone, time.AfterFunc(it.timeout, func() {
-				end := brain.AttemptEnd{Endpoint: e.number, Outcome: brain.TimedOut, Elapsed: time.Since(began)}
-				if it.claim() {
-					end.Outcome = brain.ConnectFailed // no connection has come up for it
+				if it.place.Load() == aboard {
+					endAlone(*it, brain.TimedOut)
 				}
-				s.post(ctx, callEnd{ends: []itemEnd{{it.message, it.attempt, end}}})
 			}))
 		}
 	}
 	go func() {
 		defer cancel()
+		defer withhold()
 		ends := make([]brain.AttemptEnd, len(items))
 		switch {
 		case !written:
@@ -784,9 +802,9 @@
 				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
 			}
 		case len(items) == 1:
-			ends[0] = s.pool.call(call, e, items[0].record, timeout)
+			ends[0] = s.pool.call(call, begin, e, items[0].record, timeout)
 		default:
-			ends = s.pool.callMany(call, e, items, timeout)
+			ends = s.pool.callMany(call, begin, e, items, timeout)
 		}
 		for _, t := range alone {
 			t.Stop()
