Withhold calls that still wait for their connection when a drain or a told wait becomes known

Found on the path of the messages sent after their end: pool.exchange writes whatever the call was decided for, up to 1.5 s after the decision, and only the time-out was looked at again. A drain binds after 0.5 s and a told wait after 0.1 s, so a connect that needs a second SYN could carry a call across either.

Now the module says Withhold for an endpoint with calls out that drains or goes, or whose destination tells a wait, and the sender breaks off the connects there: the attempts end as never sent. The same at a hand-over, after which only the newcomer knows whether a call may begin, and when SIGTERM's grace is over.

--- a/brain/api.go
+++ b/brain/api.go
@@ -180,7 +180,7 @@
 func (NewSettings) event() {}
 func (Alarm) event()       {}
 
-// Action is one of Send, Refuse, Fail, Cancel, CloseIdle, SetAlarm, WatchList and Log.
+// Action is one of Send, Refuse, Fail, Cancel, Withhold, CloseIdle, SetAlarm, WatchList and Log.
 type Action interface{ action() }
 
 // Send calls an endpoint with a message and gives the attempt up after Timeout. A call that has to wait for its
@@ -207,6 +207,10 @@
 	Attempt int
 }
 
+// Withhold stops the calls to an endpoint that have not been written yet, as they may wait for a connection for
+// long: they end as NotSent. Those that have been written go on.
+type Withhold struct{ Endpoint EndpointID }
+
 // CloseIdle shuts the connections to an endpoint that have no call.
 type CloseIdle struct{ Endpoint EndpointID }
 
@@ -223,6 +227,7 @@
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Cancel) action()    {}
+func (Withhold) action()  {}
 func (CloseIdle) action() {}
 func (SetAlarm) action()  {}
 func (WatchList) action() {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -750,6 +750,11 @@
 	}
 	if e.Wait > 0 { // each outcome of a shared call may tell a later end
 		a.route.closedUntil = max(a.route.closedUntil, b.now+e.Wait+time.Millisecond)
+		for _, at := range m.dest.endpoints {
+			if at.route == a.route {
+				b.withhold(at)
+			}
+		}
 	}
 	// Broken sooner than any call was served, on a connection that had been idle: that was dropped meanwhile,
 	// and tells nothing of the destination. The call may have run, but its repeat need not wait.
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -218,6 +218,37 @@
 	}
 }
 
+// What is out to an endpoint may not be written yet when a drain or a wait becomes known: then it is withheld.
+func TestCallsAreWithheldWhenADrainOrAWaitIsTold(t *testing.T) {
+	for name, news := range map[string]func(r *rig, answered Send) Event{
+		"drains": func(*rig, Send) Event { return ListNews{Endpoints: []Endpoint{{ID: 1}}} },
+		"gone": func(*rig, Send) Event {
+			return ListNews{Whole: true, Endpoints: []Endpoint{{ID: 2, Destination: 1, Ready: true}}}
+		},
+		"wait": func(r *rig, answered Send) Event {
+			e := r.end(answered, Refused)
+			e.Wait = 300 * ms
+			return e
+		},
+	} {
+		r := newRig(t, settings())
+		r.serve(3, 0, 50*ms)
+		sends := r.step(r.message(0, 0, 0), r.message(0, 0, 0))
+		if len(sends) != 2 {
+			t.Fatalf("%s: sent %+v", name, sends)
+		}
+		var got []Withhold
+		for _, a := range r.b.Step(r.now, []Event{news(r, sends[0])}) {
+			if w, ok := a.(Withhold); ok {
+				got = append(got, w)
+			}
+		}
+		if len(got) != 1 || got[0].Endpoint != 1 {
+			t.Errorf("%s: withheld %+v", name, got)
+		}
+	}
+}
+
 // A call may wait for its connection. It is begun while the quickest call served there would still be in time, or not
 // at all, and a keyed repeat while its key is remembered.
 func TestACallHasALatestBeginning(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -311,6 +311,13 @@
 	}
 }
 
+// withhold stops what is not written yet to e: by the time that it is, a drain or a wait may bind.
+func (b *Brain) withhold(e *endpoint) {
+	if e != nil && e.calls > 0 {
+		b.acts = append(b.acts, Withhold{e.ID})
+	}
+}
+
 // news takes in the list. What drains or is gone gets nothing new from this batch on.
 func (b *Brain) news(n ListNews) {
 	listed := map[EndpointID]bool{}
@@ -319,6 +326,8 @@
 		b.drop(e.ID)
 		if e.Ready {
 			b.add(e)
+		} else {
+			b.withhold(b.endpoints[e.ID])
 		}
 	}
 	if n.Whole {
@@ -326,6 +335,7 @@
 			for _, e := range append([]*endpoint(nil), d.endpoints...) {
 				if !listed[e.ID] {
 					b.drop(e.ID)
+					b.withhold(e)
 				}
 			}
 		}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -269,11 +269,11 @@
 // callMany makes one attempt with several messages, which share its fate unless the answer tells each one's. Those
 // that have ended before it is written are left out.
 func (p *pool) callMany(ctx, begin context.Context, e *endpoint, items []item, timeout time.Duration) []brain.AttemptEnd {
-	ends := make([]brain.AttemptEnd, len(items))
+	ends, unsent := make([]brain.AttemptEnd, len(items)), brain.ConnectFailed
 	all := func(end brain.AttemptEnd) []brain.AttemptEnd {
 		for i := range ends {
 			if ends[i] = end; items[i].place.Load() != aboard {
-				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.ConnectFailed}
+				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: unsent}
 			}
 		}
 		return ends
@@ -311,7 +311,9 @@
 		if outcome == brain.Served { // a first line alone tells of no message how it fared
 			outcome = brain.Broken
 		}
-		end.Outcome = outcome
+		if end.Outcome = outcome; c == nil {
+			unsent = outcome
+		}
 		return all(end)
 	}
 	p.read(resp, c, &end)
@@ -373,12 +375,12 @@
 	// Nothing has been written yet: however it fails up to the last byte, the call never ran.
 	c, err := p.get(begin, e)
 	if err != nil {
-		return nil, nil, brain.ConnectFailed
+		return nil, nil, unbegun(ctx, begin)
 	}
 	out, err := render(c.addr)
 	if err != nil || begin.Err() != nil { // the connection has come too late for this call, but a further one may use it
 		p.put(e, c)
-		return nil, nil, brain.ConnectFailed
+		return nil, nil, unbegun(ctx, begin)
 	}
 	by, _ := begin.Deadline()
 	if !out.by.IsZero() {
@@ -407,6 +409,14 @@
 	return nil, c, unread(ctx)
 }
 
+// unbegun is the outcome of a call that was not written for want of a connection in time.
+func unbegun(ctx, begin context.Context) brain.Outcome {
+	if ctx.Err() == nil && errors.Is(begin.Err(), context.Canceled) {
+		return brain.NotSent // withheld
+	}
+	return brain.ConnectFailed
+}
+
 // unread is the outcome of a call whose answer did not come whole: it may have run.
 func unread(ctx context.Context) brain.Outcome {
 	switch {
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -327,6 +327,7 @@
 	for _, e := range s.list.byNumber {
 		s.pool.closeIdle(e, 0)
 	}
+	s.withhold(func(*outCall) bool { return true }) // of what is begun from now on only the newcomer knows whether it may
 	st := &estate{ListVersion: s.listVersion, Flights: s.flights(), Memory: s.brain.Remember()}
 	for _, e := range s.list.byNumber {
 		st.Endpoints = append(st.Endpoints, e.target)
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -50,7 +50,8 @@
 	endpoint brain.EndpointID
 	timeout  time.Duration
 	cancel   func()
-	at       *link // the process that makes it, nil for this one
+	withhold func() // it ends, unless it has been written
+	at       *link  // the process that makes it, nil for this one
 }
 
 // Sender is one real sender.
@@ -232,6 +233,7 @@
 		case <-grace:
 			grace = nil
 			s.quitting = true
+			s.withhold(func(*outCall) bool { return true })
 			go func() { // it ends when every request that has come is answered
 				s.server.http.Shutdown(work)
 				close(shut)
@@ -346,7 +348,7 @@
 func (s *Sender) predecessorCall(f flight) *outCall {
 	at := s.predecessor
 	return &outCall{number: f.Call, endpoint: f.Endpoint, timeout: f.Timeout, at: at,
-		cancel: func() { at.send(packet{Cancel: &f.ID}) }}
+		cancel: func() { at.send(packet{Cancel: &f.ID}) }, withhold: func() {}} // it has written all that it has out
 }
 
 // hold gives a message its number.
@@ -580,6 +582,8 @@
 			if m := s.messages[a.Message]; m != nil && m.calls[a.Attempt] != nil {
 				m.calls[a.Attempt].cancel()
 			}
+		case brain.Withhold:
+			s.withhold(func(c *outCall) bool { return c.endpoint == a.Endpoint })
 		case brain.CloseIdle:
 			if e := s.endpoint(a.Endpoint); e != nil {
 				s.pool.closeIdle(e, 0)
@@ -597,6 +601,17 @@
 	s.publish()
 }
 
+// withhold ends calls that have not been written yet.
+func (s *Sender) withhold(which func(*outCall) bool) {
+	for _, m := range s.messages {
+		for _, c := range m.calls {
+			if which(c) {
+				c.withhold()
+			}
+		}
+	}
+}
+
 // publish stores the gauges where they can be read without the loop.
 func (s *Sender) publish() {
 	s.figures.set(gauges{s.held, s.list.listed, s.brain.Avoided()})
@@ -764,7 +779,7 @@
 	begin, withhold := context.WithTimeout(call, latest)
 	s.numbered++
 	for _, it := range items {
-		it.message.calls[it.attempt] = &outCall{number: s.numbered, endpoint: e.number, timeout: it.timeout, cancel: cancel}
+		it.message.calls[it.attempt] = &outCall{number: s.numbered, endpoint: e.number, timeout: it.timeout, cancel: cancel, withhold: withhold}
 	}
 	s.out++
 	s.shared += len(items) - 1
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -629,3 +630,45 @@
 		t.Errorf("told %v, still owed %v, in the journal %d", batch, s.owed, len(s.journal.byID))
 	}
 }
+
+// A call that still waits for its connection when its endpoint drains or goes is not written any more, though it was
+// decided before: it could arrive when the drain binds.
+func TestACallThatWaitsForItsConnectionIsWithheld(t *testing.T) {
+	t.Parallel()
+	for name, news := range map[string]func(s *Sender, list Targets) []brain.Event{
+		"the endpoint drains": func(s *Sender, list Targets) []brain.Event {
+			list.Servers[0].State = "DRAINING"
+			return []brain.Event{s.news(list, false)}
+		},
+		"the endpoint is gone": func(s *Sender, list Targets) []brain.Event {
+			return []brain.Event{s.news(Targets{Servers: list.Servers[1:]}, true)}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := st.NewEndpoint(t, st.Status(200))
+			p := st.NewPlatform(t, e.Addr, e.Addr)
+			s := newTest(t, p, nil)
+			dialing, up := make(chan struct{}, 1), make(chan struct{})
+			s.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+				dialing <- struct{}{}
+				<-up
+				return nil
+			}
+			ctx, list := context.Background(), s.c.Known
+			list.Servers[1].Cell = 0
+			s.step(ctx, []brain.Event{s.news(list, true)})
+			r := record{ID: "m1", Class: "safe", Tenant: "acme", Deadline: s.clock.now() + st.Wait}
+			s.step(ctx, s.take(ctx, submission{record: r, answer: make(chan answerLine, 1)}))
+			st.Receive(t, dialing)
+			s.step(ctx, news(s, list))
+			close(up)
+			end := st.Receive(t, s.events).(callEnd)
+			if got := end.ends[0]; got.message.ID != "m1" || got.Outcome != brain.NotSent {
+				t.Errorf("%+v", got)
+			}
+			if len(e.Calls) > 0 {
+				t.Errorf("the endpoint got %+v", <-e.Calls)
+			}
+		})
+	}
+}
