Abandon a shared call that has not arrived when one of its messages ends alone

The same fault on a further path: a shared call goes on for the others when one message's time is up, also where the endpoint is cut off and the bytes still wait in the sending machine. They would arrive after that message's end, once the cut is over. A single call is reset at its time-out since; Sender.call's timers "alone" left a shared one as it was.

Now the timer asks the machine how much is unconfirmed (SIOCOUTQ, from golang.org/x/sys) and resets the connection before the end is told, unless all has arrived. The others may have run, as after any break.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dockshift.example/dockshift/brain"
 )
 
@@ -187,6 +189,7 @@
 	begin   time.Duration // it is not written later than this
 	by      time.Time     // the same as a time
 	last    bool          // its time is up with the time-out: it will not be sent again
+	way     *carriage     // of its call
 	place   *atomic.Int32 // open, aboard or left: the bytes may have to wait for a connection, and its time be up first
 }
 
@@ -200,6 +203,45 @@
 func (it item) board() bool { return it.place.CompareAndSwap(open, aboard) }
 func (it item) leave() bool { return it.place.CompareAndSwap(open, left) }
 
+// carriage is the connection that a call is out on, until it is answered.
+type carriage struct {
+	mu      sync.Mutex
+	conn    *conn
+	written bool
+}
+
+func (w *carriage) set(c *conn, written bool) {
+	if w != nil {
+		w.mu.Lock()
+		w.conn, w.written = c, written
+		w.mu.Unlock()
+	}
+}
+
+// recall abandons the call unless all of it has arrived: of a message that has ended nothing may arrive any more.
+func (w *carriage) recall() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn != nil && !(w.written && w.conn.arrived()) {
+		w.conn.drop()
+	}
+}
+
+// arrived reports whether the other side's machine has confirmed all that was written on c.
+func (c *conn) arrived() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left, asked := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { left, asked = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && asked == nil && left == 0
+}
+
 // callEnd is how a call ended for some of its messages.
 type callEnd struct {
 	ends []itemEnd
@@ -302,7 +344,7 @@
 			return rendered{}, err
 		}
 		out, err := request(addr, "/hook/batch", "application/json", record{}, body, timeout)
-		return rendered{out, len(parts), by}, err
+		return rendered{out, len(parts), by, items[0].way}, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -364,6 +406,7 @@
 	text     []byte
 	messages int
 	by       time.Time // its last byte is written by then or never; the zero time for no bound
+	way      *carriage // nil if nobody else may end it
 }
 
 var errNobody = errors.New("no message is left for this call")
@@ -388,10 +431,13 @@
 	}
 	c.SetWriteDeadline(by)
 	c.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	out.way.set(c, false)
+	defer out.way.set(nil, false) // before a further call can have the connection
 	if _, err = c.Write(out.text); err != nil {
 		c.drop()
 		return nil, nil, brain.ConnectFailed
 	}
+	out.way.set(c, true)
 	p.forwarded(out.messages)
 	c.calls++
 	c.first, c.room = c.first[:0], maxAnswer
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -443,3 +443,43 @@
 		t.Errorf("the endpoint got %+v", c)
 	}
 }
+
+// In a shared call whose bytes have not arrived when one message's time is up, they would arrive after its end: the call
+// is abandoned for all.
+func TestASharedCallThatHasNotArrivedIsAbandonedAtAnEnd(t *testing.T) {
+	t.Parallel()
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := newTest(t, st.NewPlatform(t), nil)
+	var items []item
+	for id, timeout := range map[string]time.Duration{"a": 50 * time.Millisecond, "b": time.Hour} {
+		it := item{record: record{ID: id, Body: make([]byte, 20<<10)}, timeout: timeout, last: true}
+		it.message = &message{stored: &stored{record: it.record}, calls: map[int]*outCall{}}
+		items = append(items, it)
+	}
+	s.call(context.Background(), &endpoint{addr: l.Addr().String(), most: len(items)}, items, true)
+	c, err := l.Accept() // it takes nothing in but what the machine does
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	// The call's end may overtake that of the message alone, which is booked once all the same.
+	for over := false; !over; {
+		end := st.Receive(t, s.events).(callEnd)
+		over = end.over
+		for _, it := range end.ends {
+			if it.message.ID == "b" && it.Outcome != brain.Broken {
+				t.Errorf("b ended as %d", it.Outcome)
+			}
+		}
+	}
+	if _, err := io.Copy(io.Discard, c); err == nil {
+		t.Error("the connection ended in order")
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -759,13 +759,15 @@
 //
 // Each message has a time-out of its own. One whose time is up then ends alone, and the call goes on for the
 // others; so does one for which no connection has come up by the time that its call must begin, and the call is then
-// written without it. Any other time-out ends the call: the message may be sent again at once, and two copies of it
+// written without it. Where the bytes of an ended message may not have arrived yet, cut off as the endpoint may be, the
+// call is abandoned: else they would arrive once the cut is over. Any other time-out ends the call: the message may be sent again at once, and two copies of it
 // must not be out together.
 func (s *Sender) call(ctx context.Context, e *endpoint, items []item, written bool) {
+	way := &carriage{}
 	timeout, latest, cut := time.Duration(0), time.Duration(0), time.Duration(math.MaxInt64)
 	for i := range items {
 		it := &items[i]
-		it.place = new(atomic.Int32)
+		it.place, it.way = new(atomic.Int32), way
 		if it.begin <= 0 || it.begin > it.timeout {
 			it.begin = it.timeout
 		}
@@ -802,6 +804,7 @@
 		if it.timeout < timeout {
 			alone = append(alone, time.AfterFunc(it.timeout, func() {
 				if it.place.Load() == aboard {
+					way.recall()
 					endAlone(*it, brain.TimedOut)
 				}
 			}))
