Hold up no notice behind a silent connection: a try takes 0.1 s, then all that is owed goes anew

Found by its figures: a notice is due 300 ms after its message's time, one batch is out at a time, and post waited 500 ms for an answer (noticeTime), then rested and sent the old batch alone. One connection to discovery that fell silent made each notice owed meanwhile late, and the further idle connection of the client could be as silent.

Now the first try takes 0.1 s (the protocol's answer comes immediately, and 0.3 s leave room for two more), later ones up to 0.5 s as before; after a failure the idle connections are closed, and the next try takes along all that is owed by then.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -14,11 +14,15 @@
 )
 
 const (
+	// A notice is due 300 ms after its message's time, and is answered at once, or the connection says nothing any more.
+	// So the first try is short, and there is time for two further ones; a platform in trouble is given more.
+	noticeFirst = 100 * time.Millisecond
+	noticeTime  = 500 * time.Millisecond
+	noticeRest  = 10 * time.Millisecond // before the next try; doubles
 	// A watch that was out while discovery was down may never be answered, and nothing shows it but its time:
 	// so that is short. The agent answers at once and at no cost.
 	watchWait  = 2 * time.Second        // a watch call waits so long for news
 	answerTime = time.Second            // and an answer takes no longer than this besides
-	noticeTime = 500 * time.Millisecond // notices are answered at once, or the connection says nothing any more
 	backOff    = 100 * time.Millisecond // first pause after a failure; doubles
 	backOffTop = 500 * time.Millisecond
 	// The platform behind the agent serves all senders of the deployment, and after a release they come at once.
@@ -247,9 +251,10 @@
 	RetryMS *int64 `json:"retry_in_ms,omitempty"`
 }
 
-// tell posts notices until they are taken.
+// tell posts batches of notices, each once, and passes on those that were taken, and none after a failure. Then all that
+// is owed by now goes out anew, and on another connection: nothing waits for a silent one longer than its try takes.
 func (d *discovery) tell(ctx context.Context, notices <-chan []notice, told func([]notice)) {
-	for {
+	for failures := 0; ; {
 		var batch []notice
 		select {
 		case batch = <-notices:
@@ -261,27 +266,27 @@
 		for _, n := range batch {
 			enc.Encode(n) // strings and numbers only: it cannot fail
 		}
-		for failures := 0; ; {
-			base, here, cancel := d.at(ctx)
-			err := d.post(here, base, lines.Bytes())
-			if err == nil {
-				cancel()
-				told(batch)
-				break
-			}
-			if failures++; !rest(here, min(backOff<<min(failures-1, 10), backOffTop)) {
+		base, here, cancel := d.at(ctx)
+		err := d.post(here, base, lines.Bytes(), min(noticeFirst<<min(failures, 10), noticeTime))
+		if err == nil {
+			failures = 0
+		} else {
+			batch = nil
+			d.client.CloseIdleConnections() // they may be as silent
+			if failures++; !rest(here, min(noticeRest<<min(failures-1, 10), backOffTop)) {
 				failures = 0 // it has moved
 			}
-			cancel()
-			if ctx.Err() != nil {
-				return
-			}
 		}
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		told(batch)
 	}
 }
 
-func (d *discovery) post(ctx context.Context, base string, lines []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, noticeTime)
+func (d *discovery) post(ctx context.Context, base string, lines []byte, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/notices", bytes.NewReader(lines))
 	if err != nil {
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +112,51 @@
 		t.Errorf("%v waited for an agent that is silent", took)
 	}
 }
+
+// A connection to discovery that has fallen silent delays no notice for longer than its try takes: what has come to be
+// owed meanwhile goes with the next one, on another connection, while it is still in time.
+func TestASilentConnectionHoldsUpNoNotice(t *testing.T) {
+	t.Parallel()
+	posts := make(chan string, 10)
+	var heard atomic.Bool
+	p := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		first := heard.CompareAndSwap(false, true)
+		posts <- string(body)
+		if first {
+			<-r.Context().Done()
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(p.Close)
+	s := newTest(t, st.NewPlatform(t), nil)
+	s.disc.move(strings.TrimPrefix(p.URL, "http://"))
+	owe := func(id string) {
+		m, err := s.journal.take(record{ID: id, Class: "safe"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.journal.note(m, record{Op: "over", How: givenUp})
+		s.owed = append(s.owed, m.notice())
+		s.tell()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.disc.tell(ctx, s.notices, func(n []notice) { s.post(ctx, toldEvent{n}) })
+	owe("a")
+	if text := st.Receive(t, posts); !strings.Contains(text, `"a"`) {
+		t.Fatalf("first %s", text)
+	}
+	began := time.Now()
+	owe("b")
+	for len(s.owed) > 0 {
+		s.take(ctx, st.Receive(t, s.events))
+		s.tell()
+	}
+	if text := st.Receive(t, posts); !strings.Contains(text, `"a"`) || !strings.Contains(text, `"b"`) {
+		t.Errorf("then %s", text)
+	}
+	if took := time.Since(began); took > 300*time.Millisecond {
+		t.Errorf("told after %v", took)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -713,7 +713,7 @@
 	return n
 }
 
-// tell passes on the notices owed, one batch at a time.
+// tell passes on the notices owed, one batch at a time; what one batch leaves goes with the next.
 func (s *Sender) tell() {
 	if !s.telling && len(s.owed) > 0 {
 		s.telling = true
