--- /dev/null
+++ b/internal/sender/scale_test.go
@@ -0,0 +1,114 @@
+package sender
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// The last of 1,024 senders with 1,024 endpoints, on the smallest machine: whole lists and changes of all lines are
+// taken in before a drain binds, messages go where the list says, and what it remembers of it all stays small.
+func TestAThousandSendersAndEndpoints(t *testing.T) { // not parallel: it measures the heap
+	const n = 1024
+	one, two := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	lines := func(addr, state string, from int) (all []any) {
+		for i := from; i < n; i++ {
+			all = append(all, st.Target(fmt.Sprintf("s-%08x", i*2654435761), addr, i, state))
+		}
+		return all
+	}
+	list := func(version int, full bool, servers []any) map[string]any {
+		return map[string]any{"version": version, "full": full, "servers": servers}
+	}
+	asked, answer := make(chan string, 100), make(chan map[string]any)
+	notices := make(chan st.Notice, 10)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			var told st.Notice
+			json.NewDecoder(r.Body).Decode(&told)
+			notices <- told
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		asked <- r.URL.Query().Get("after")
+		select {
+		case news := <-answer:
+			json.NewEncoder(w).Encode(news)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(discovery.CloseClientConnections)
+
+	before := heap()
+	addr := run(t, st.NewPlatform(t), func(c *Config) {
+		text := st.Config(st.NewPlatform(t), c.State)
+		text["discovery"] = strings.TrimPrefix(discovery.URL, "http://")
+		text["limits"] = map[string]any{"cores": 1.0, "memory_mb": 32, "sockets": 256, "disk_mb": 3}
+		text["known"] = list(1, true, lines(one.Addr, "SERVING", 0))
+		settings := text["settings"].(map[string]any)
+		settings["balancers"], settings["slotNo"] = n, n-1
+		raw, err := json.Marshal(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parsed, err := ParseConfig(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		*c = *parsed
+	})
+	watches := func(version string) {
+		t.Helper()
+		for st.Receive(t, asked) != version {
+		}
+	}
+	deliver := func(id string, dest int, to *st.Endpoint) {
+		t.Helper()
+		st.HandIn(t, addr, id, "safe", dest, 20*time.Second)
+		if c := to.Next(t); c.ID != id {
+			t.Errorf("the endpoint got %s, not %s", c.ID, id)
+		}
+	}
+	tell := func(version int, full bool, servers []any) {
+		t.Helper()
+		began := time.Now()
+		answer <- list(version, full, servers)
+		watches(fmt.Sprint(version)) // by then the loop has the list before whatever comes now
+		if took := time.Since(began); took > 500*time.Millisecond {
+			t.Errorf("version %d was taken in after %v", version, took)
+		}
+	}
+	watches("1")
+	deliver("known", n-1, one)
+	tell(2, false, lines(two.Addr, "SERVING", 0))
+	deliver("moved", n-1, two)
+	tell(3, false, lines(two.Addr, "DRAINING", 0))
+	st.HandIn(t, addr, "held", "safe", n-1, 200*time.Millisecond)
+	if got := st.Receive(t, notices); got.Message != "held" || got.Outcome != "given_up" || len(two.Calls) > 0 {
+		t.Errorf("with all endpoints draining: %+v, %d calls", got, len(two.Calls))
+	}
+	tell(4, true, lines(one.Addr, "SERVING", n/2))
+	deliver("listed", n-1, one)
+	st.HandIn(t, addr, "gone", "safe", 0, 200*time.Millisecond)
+	if got := st.Receive(t, notices); got.Message != "gone" || got.Outcome != "given_up" {
+		t.Errorf("with its endpoint off the list: %+v", got)
+	}
+	if grown := heap() - before; grown > 8<<20 {
+		t.Errorf("%d bytes more on the heap", grown)
+	}
+}
+
+// heap is what is in use once all that can be freed has been.
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
