Tell the first call of a test's endpoint by its connection, not by a variable shared unguarded

Seen: one report of the race detector in 8 plays of internal/sender's tests, at reload_test.go:179: the script of an endpoint read and wrote "first" from the goroutines of two connections.

--- a/internal/sender/reload_test.go
+++ b/internal/sender/reload_test.go
@@ -174,10 +174,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			open, later := make(chan struct{}), make(chan struct{})
-			first := true
 			at := st.NewEndpoint(t, func(c st.Call, conn net.Conn) bool {
-				if first { // what is out across the change may have run
-					first = false
+				if c.Conn == 1 { // what is out across the change may have run
 					<-open
 					return st.Reset(c, conn)
 				}
