Take a message left out of a shared call as not sent: how the call fares is told by the others

The module books a call's fate by the first of its messages that ends (judge), so one short message made the whole call count as a failed connect, cut the time that idle connections of its kind are kept to a quarter, and the answer that came for the others was not counted. Its time says nothing of the endpoint.

TestAMessageThatEndsBeforeItsSharedCallIsWrittenIsLeftOut fails without it.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -311,7 +311,7 @@
 // callMany makes one attempt with several messages, which share its fate unless the answer tells each one's. Those
 // that have ended before it is written are left out.
 func (p *pool) callMany(ctx, begin context.Context, e *endpoint, items []item, timeout time.Duration) []brain.AttemptEnd {
-	ends, unsent := make([]brain.AttemptEnd, len(items)), brain.ConnectFailed
+	ends, unsent := make([]brain.AttemptEnd, len(items)), brain.NotSent
 	all := func(end brain.AttemptEnd) []brain.AttemptEnd {
 		for i := range ends {
 			if ends[i] = end; items[i].place.Load() != aboard {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -797,7 +797,7 @@
 		if it.begin < latest || it.timeout < timeout {
 			alone = append(alone, time.AfterFunc(it.begin, func() {
 				if it.leave() {
-					endAlone(*it, brain.ConnectFailed) // no connection has come up for it
+					endAlone(*it, brain.NotSent) // how the call fares is told by those who go along
 				}
 			}))
 		}
