--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -190,18 +190,18 @@
 	by      time.Time     // the same as a time
 	last    bool          // its time is up with the time-out: it will not be sent again
 	way     *carriage     // of its call
-	place   *atomic.Int32 // open, aboard or left: the bytes may have to wait for a connection, and its time be up first
+	place   *atomic.Int32 // undecided, aboard or left out: the bytes may have to wait for a connection, and its time be up first
 }
 
 // Whether an item goes along in its call's bytes or ends before they are written is settled by who comes first.
 const (
-	open int32 = iota
+	undecided int32 = iota
 	aboard
-	left
+	leftOut
 )
 
-func (it item) board() bool { return it.place.CompareAndSwap(open, aboard) }
-func (it item) leave() bool { return it.place.CompareAndSwap(open, left) }
+func (it item) board() bool { return it.place.CompareAndSwap(undecided, aboard) }
+func (it item) leave() bool { return it.place.CompareAndSwap(undecided, leftOut) }
 
 // carriage is the connection that a call is out on, until it is answered.
 type carriage struct {
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -391,11 +391,11 @@
 	t.Parallel()
 	for name, short := range map[string]item{"time up": {timeout: 10 * time.Millisecond},
 		"too late to begin": {begin: 10 * time.Millisecond, timeout: st.Wait}} {
-		t.Run(name, func(t *testing.T) { leftOut(t, short) })
+		t.Run(name, func(t *testing.T) { testLeftOut(t, short) })
 	}
 }
 
-func leftOut(t *testing.T, short item) {
+func testLeftOut(t *testing.T, short item) {
 	e := st.NewEndpoint(t, st.Text(200, `[{"id":"b","state":"ok"},{"id":"a","state":"ok"}]`))
 	s := newTest(t, st.NewPlatform(t, e.Addr), nil)
 	up := make(chan struct{})
