Let the message with most time lead a shared call, so that no answer to it is void

No SIGTERM, SIGKILL or start was near (n1 was restarted at 27 s), the stated X-Deadline-Ms was 4560, and the answer came whole.

Some thirty calls were answered after the end of another of their messages (say the 17th of 20), and none was lost by that. Calls whose answer was cut were repeated and lost none. No message was without an answer to its client, a notice or a booked delivery.

At fault: Sender.send and Sender.call, which go on with a call for the others when one message ends, in whatever order the module sent them. Now the one with the latest deadline stands first. Ending the call for all with the first message would have cut calls of twenty for one that had 40 ms left, and have lost those that may not be repeated.

The test fails without the change.

--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/gob"
@@ -725,7 +726,8 @@
 const maxShared = maxBody - 4<<10
 
 // send makes the calls of a step, in their order: what goes to one endpoint travels together as far as its
-// kind allows, as the module counts it.
+// kind allows, as the module counts it. Messages end alone while their call goes on, but it has to be over when the
+// time of its first one is: after that the platform takes no answer to it. So the one that has time for longest leads.
 func (s *Sender) send(ctx context.Context, now time.Duration, sends []brain.Send, written bool) {
 	type shared struct {
 		e     *endpoint
@@ -750,6 +752,7 @@
 		c.items, c.size = append(c.items, it), c.size+size
 	}
 	for _, c := range calls {
+		slices.SortStableFunc(c.items, func(x, y item) int { return cmp.Compare(y.Deadline, x.Deadline) })
 		s.call(ctx, c.e, c.items, written)
 	}
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -415,6 +415,30 @@
 	}
 }
 
+// A call counts as over when the time of its first message is, whoever else is in it: so that has time for longest,
+// in whatever order they came and the module sends them, and the others are not lost with an answer that comes after a shorter one's end.
+func TestTheMessageWithMostTimeLeadsASharedCall(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		if c.Path == "/hook" {
+			<-hold
+			return st.Status(200)(c, nc)
+		}
+		return st.Silent(c, nc)
+	})
+	addr := run(t, st.NewPlatform(t, e.Addr), func(c *Config) { c.Settings.Kinds[0].PerCall = 20 })
+	st.HandIn(t, addr, "holds", "unsafe", 0, 15*time.Second)
+	e.Next(t)
+	for id, left := range map[string]time.Duration{"short": 16, "long": 20, "middle": 18} {
+		st.HandIn(t, addr, id, "unsafe", 0, left*time.Second)
+	}
+	close(hold)
+	if parts := e.Next(t).Parts(t); len(parts) != 3 || parts[0].ID != "long" {
+		t.Errorf("the call is %+v", parts)
+	}
+}
+
 // Of messages in one call, one whose time is up ends alone. A time-out after which it might be sent again ends
 // the call, as two copies must not be out at once.
 func TestTimeOutsInASharedCall(t *testing.T) {
