Take an answer that comes after the time told in its call as a time-out

It was taken as a delivery, so no notice was sent; the platform had given the call up.

At fault: pool.call and pool.callMany, which take whatever has been read by the time that the deadline on the connection bites. Now the moment at which the first line came counts (for a shared call the end of its answer), against the time that the call told.

The test fails without the change.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -50,6 +50,7 @@
 	idle  time.Duration // how long it had been so before the present call
 	room  int           // bytes that the answer may still take
 	first []byte        // of the answer that is being read
+	told  time.Time     // when its first bytes said whether the message is served
 	stop  func() bool   // lets go of the context of the call; false if that has cut it off
 }
 
@@ -77,7 +78,11 @@
 	}
 	n, err := c.Conn.Read(b[:min(len(b), c.room)])
 	c.room -= n
+	before := len(c.first)
 	c.first = append(c.first, b[:min(n, len(served)+1-len(c.first))]...)
+	if before < len(served) && len(c.first) >= len(served) {
+		c.told = time.Now()
+	}
 	return n, err
 }
 
@@ -270,17 +275,23 @@
 	if contentType != "" {
 		req.Header.Set("Content-Type", contentType)
 	}
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(waits(timeout).Milliseconds(), 10))
 	var out bytes.Buffer
 	err = req.Write(&out)
 	return out.Bytes(), err
 }
 
+// waits is how long an endpoint is told that it is waited for, in whole milliseconds.
+func waits(timeout time.Duration) time.Duration {
+	return max(time.Millisecond, timeout.Truncate(time.Millisecond))
+}
+
 // call makes one attempt with one message and says how it ended. It never makes a second one: an endpoint
 // counts each call whose last byte has come. ctx ends it early, its deadline being the time-out; begin does until the
-// last byte is written.
+// last byte is written. An answer that begins after the time told in the call is late, however soon it is found that the
+// time-out is up: the endpoint's side has given the call up, and does not take the message as delivered.
 func (p *pool) call(ctx, begin context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
-	end := brain.AttemptEnd{Endpoint: e.number}
+	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(waits(timeout))
 	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
 		out, err := request(addr, "/hook", "", m, m.Body, timeout)
 		return rendered{text: out, messages: 1}, err
@@ -288,14 +299,21 @@
 	if c != nil {
 		end.Idle = c.idle
 	}
+	late := c != nil && len(c.first) >= len(served) && !c.told.Before(until)
 	if resp == nil {
+		if late {
+			outcome = brain.TimedOut
+		}
 		end.Outcome, end.Over = outcome, outcome == brain.Served
 		return end
 	}
 	p.read(resp, c, &end)
-	// A first line of 200 is true whatever follows. Any other answer counts only if it comes whole: that a call
+	// A first line of 200 is true whatever follows, if it comes in time. Any other answer counts only if it comes whole: that a call
 	// never ran is not to be taken from half an answer.
-	if _, whole := p.rest(e, c, resp); !whole && end.Outcome != brain.Served {
+	switch _, whole := p.rest(e, c, resp); {
+	case late:
+		end = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.TimedOut, Wait: end.Wait, Idle: end.Idle}
+	case !whole && end.Outcome != brain.Served:
 		end = brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait, Idle: end.Idle}
 	}
 	return end
@@ -320,7 +338,7 @@
 		}
 		return ends
 	}
-	end := brain.AttemptEnd{Endpoint: e.number}
+	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(waits(timeout))
 	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
 		var parts []part
 		var by time.Time
@@ -361,6 +379,8 @@
 	p.read(resp, c, &end)
 	body, whole := p.rest(e, c, resp)
 	switch {
+	case !time.Now().Before(until): // here the whole answer counts, so all of it has to come in time
+		return all(brain.AttemptEnd{Endpoint: e.number, Outcome: brain.TimedOut, Wait: end.Wait, Idle: end.Idle})
 	case !whole:
 		return all(brain.AttemptEnd{Endpoint: e.number, Outcome: unread(ctx), Wait: end.Wait, Idle: end.Idle})
 	case resp.StatusCode == http.StatusOK:
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -207,6 +208,61 @@
 	}
 }
 
+// An answer that comes after the time told in its call is a time-out, though it is still read: the other side has given
+// the call up. A first line of 200 in time is true, however long the rest takes.
+func TestALateAnswerIsATimeOut(t *testing.T) {
+	t.Parallel()
+	const told = 300 * time.Millisecond
+	late := func(answer func(st.Call, net.Conn) bool) func(st.Call, net.Conn) bool {
+		return func(c st.Call, nc net.Conn) bool {
+			<-time.After(told + 50*time.Millisecond)
+			return answer(c, nc)
+		}
+	}
+	both := `[{"id":"a","state":"ok"},{"id":"b","state":"ok"}]`
+	for name, c := range map[string]struct {
+		answer func(st.Call, net.Conn) bool
+		shared bool
+		want   brain.AttemptEnd
+	}{
+		"served":       {late(st.Status(200)), false, brain.AttemptEnd{Outcome: brain.TimedOut}},
+		"cut":          {late(func(_ st.Call, nc net.Conn) bool { io.WriteString(nc, "HTTP/1.1 200 OK\r\n"); return false }), false, brain.AttemptEnd{Outcome: brain.TimedOut}},
+		"told to wait": {late(st.Status(429, "X-RateLimit-Wait-Ms: 250")), false, brain.AttemptEnd{Outcome: brain.TimedOut, Wait: 250 * time.Millisecond}},
+		"first line in time": {func(_ st.Call, nc net.Conn) bool {
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\n")
+			<-time.After(told + 50*time.Millisecond)
+			io.WriteString(nc, "Content-Length: 0\r\n\r\n")
+			return true
+		}, false, brain.AttemptEnd{Outcome: brain.Served, Over: true}},
+		"shared": {late(st.Text(200, both)), true, brain.AttemptEnd{Outcome: brain.TimedOut}},
+		"shared, end late": {func(_ st.Call, nc net.Conn) bool {
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(both))+"\r\n\r\n"+both[:9])
+			<-time.After(told + 50*time.Millisecond)
+			io.WriteString(nc, both[9:])
+			return true
+		}, true, brain.AttemptEnd{Outcome: brain.TimedOut}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			at, p := &endpoint{addr: st.NewEndpoint(t, c.answer).Addr}, testPool()
+			ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+			defer cancel()
+			got := []brain.AttemptEnd{}
+			if c.shared {
+				items := []item{{record: record{ID: "a"}, place: new(atomic.Int32)}, {record: record{ID: "b"}, place: new(atomic.Int32)}}
+				got = p.callMany(ctx, ctx, at, items, told)
+			} else {
+				got = append(got, p.call(ctx, ctx, at, record{ID: "a"}, told))
+			}
+			for _, end := range got {
+				if end != c.want {
+					t.Errorf("got %+v, want %+v", end, c.want)
+				}
+			}
+		})
+	}
+}
+
 // A library may repeat a request with an Idempotency-Key by itself when a reused connection breaks; each
 // would count as a call that the module knows nothing of.
 func TestOneSendIsOneCall(t *testing.T) {
