Tell of a delivery in the last moment of a message's time by a notice, too

The time that a client states runs from its sending, and the sender counts it from the request's coming, so its deadline is later by the way and by whatever else kept the request waiting. An answer that comes in between is late for the platform and a delivery here, and the message gets no end.

What is served with less than the protocol's slack of 50 ms left is now told as given up as well, which by the protocol does no harm to a message that is over. Treating it as a time-out would have sent repeats and counted deliveries as failures. The test fails without it.

--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -32,6 +32,10 @@
 	idleLook    = time.Second
 	firstList   = 300 * time.Millisecond // the list is waited for at the start
 	journalPart = 0.96                   // of the disk's limit: the rest is for what the file system adds
+
+	// A client counts a message's time from when it sent it, the sender from when it had come, and the difference is not
+	// told. The protocol's slack for such differences is this.
+	slack = 50 * time.Millisecond
 )
 
 // message is one that the Brain holds.
@@ -499,6 +503,12 @@
 	}
 	if !m.ended {
 		switch {
+		case e.Outcome == brain.Served && m.Deadline-s.clock.now() < slack:
+			// By the client's clock it may have come too late, and then it still needs an end. A notice of one that
+			// was delivered in time does no harm.
+			s.end(m, record{How: givenUp})
+			s.owed = append(s.owed, m.notice())
+			s.figures.succeeded(m.Class)
 		case e.Outcome == brain.Served:
 			s.end(m, record{How: delivered})
 			s.figures.succeeded(m.Class)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -332,6 +332,24 @@
 	}
 }
 
+// Whether an answer in the last moments of a message's time was in time only the client's clock tells: a notice is sent,
+// too. It stays owed until it is taken, and none is sent of what was delivered before.
+func TestADeliveryInTheLastMomentIsToldAsWell(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	addr := run(t, p, nil)
+	st.HandIn(t, addr, "early", "safe", 0, 20*time.Second)
+	e.Next(t)
+	st.HandIn(t, addr, "close", "safe", 0, slack-10*time.Millisecond)
+	if n := st.Receive(t, p.Notices); n.Message != "close" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	if len(p.Notices) > 0 {
+		t.Errorf("a further notice: %+v", <-p.Notices)
+	}
+}
+
 // A message that the module hands back after it was taken on is told of with the time to come back.
 func TestHandedBack(t *testing.T) {
 	t.Parallel()
