Answer the requests that wait in the listener's queue when the sender leaves

Ten connections, two of which say half a request and hold the places there are; SIGTERM comes: seven of the eight requests that waited in the queue were reset ("read: connection reset by peer"), one's connection was closed on, and a client that came at once lost up to 14 of some 2,000.

At fault: Sender.Run called http.Server.Shutdown once the grace was over, which closes the listener, and with it resets what waits in its queue; connections that are idle by the server's book it closes even where a request waits unread or is just being read, as server.evict did when the places were taken; and Sender.leave called http.Close while answers could still be on their way.

Now the sender goes on accepting until its end, refuses what comes with 503, and lets go only of connections on which nothing has come, by ending their reading: a request that has been read already is still answered. At the end what is in the queue is taken in (50 ms), what has been read is answered, what has come half is told so (200 ms), and only then everything is closed: 3.45 s after SIGTERM at the latest. The limit of connections is counted in the same place, as netutil's connections hide the descriptor that tells whether bytes wait. A first request that has just begun no longer makes room for others at once, but after 20 ms.

Tests: a crowd that asks through the whole of the leaving, with an endpoint that hangs; the queue at the end; the two for making room follow the new ways. The first two fail without the change in the queue's case; TestSuccessorDies waits for the socket now, as it failed once in some twenty runs before and after.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -139,7 +139,8 @@
 }
 
 // quiet reports whether an idle connection still stands: nothing has come on it, not even its end. A call
-// on one that the endpoint has closed already would count as one that may have run.
+// on one that the endpoint has closed already would count as one that may have run, and a client's that is closed with
+// a request unread would be reset.
 func quiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
@@ -150,11 +151,10 @@
 		return false
 	}
 	stands := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // Read would wait for whoever is reading
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		stands = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && stands
 }
--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -173,6 +173,9 @@
 	slow.Next(t)
 	for n := range 2 {
 		l, _, estate, err := askHolder(context.Background(), state)
+		for until := time.Now().Add(st.Wait); err != nil && time.Now().Before(until); { // its socket may come up after its ok
+			l, _, estate, err = askHolder(context.Background(), state)
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/sender/leaving_test.go
@@ -0,0 +1,158 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// leaver is a sender whose end a test brings about.
+type leaver struct {
+	*Sender
+	addr string
+	stop context.CancelFunc // SIGTERM
+	done chan error
+}
+
+func startLeaver(t *testing.T, p *st.Platform, edit func(c *Config)) *leaver {
+	t.Helper()
+	l := &leaver{Sender: newTest(t, p, edit), done: make(chan error, 1)}
+	addr := make(chan string, 1)
+	listen := func() (net.Listener, error) {
+		nl, err := net.Listen("tcp", l.c.Listen)
+		if err == nil {
+			addr <- nl.Addr().String()
+		}
+		return nl, err
+	}
+	var ctx context.Context
+	ctx, l.stop = context.WithCancel(context.Background())
+	go func() { l.done <- l.Run(ctx, listen) }()
+	l.addr = st.Receive(t, addr)
+	return l
+}
+
+// left waits for the end, and gives the messages that the next process finds.
+func (l *leaver) left(t *testing.T) map[string]*stored {
+	t.Helper()
+	if err := st.Receive(t, l.done); err != nil {
+		t.Error(err)
+	}
+	j, err := openJournal(l.folder, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.close()
+	return j.byID
+}
+
+// While it leaves, a request that was written on a connection that stood gets a whole answer, or was never taken on and
+// may come again. It goes on to the last moment, whatever else hangs.
+func TestEachRequestWhileLeavingGetsAWholeAnswer(t *testing.T) {
+	t.Parallel()
+	hung := st.NewEndpoint(t, st.Silent)
+	l := startLeaver(t, st.NewPlatform(t, hung.Addr), func(c *Config) { c.Settings.MostHeld = 1e6; c.Limits.DiskMB = 100 })
+	l.grace, l.leaveAfter = 150*time.Millisecond, 400*time.Millisecond
+	var mu sync.Mutex
+	taken, open := map[string]bool{}, map[string]bool{} // answered 202, and not answered
+	var clients sync.WaitGroup
+	for n := range 20 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for i := 0; ; {
+				c, err := net.Dial("tcp", l.addr)
+				if err != nil {
+					return
+				}
+				for r := bufio.NewReader(c); err == nil; i++ {
+					req := st.Message(t, l.addr, strconv.Itoa(n)+"-"+strconv.Itoa(i), "unsafe", 0, 15*time.Second, "body")
+					c.SetDeadline(time.Now().Add(st.Wait))
+					var resp *http.Response
+					if err = req.Write(c); err == nil {
+						resp, err = http.ReadResponse(r, req)
+					}
+					if err == nil {
+						_, err = io.Copy(io.Discard, resp.Body)
+					}
+					mu.Lock()
+					switch id := req.Header.Get("X-Request-Id"); {
+					case err != nil:
+						open[id] = true
+					case resp.StatusCode == http.StatusAccepted:
+						taken[id] = true
+					case resp.StatusCode != http.StatusServiceUnavailable:
+						t.Errorf("%s is answered %s", id, resp.Status)
+					}
+					mu.Unlock()
+					if err == nil && resp.Close {
+						err = io.EOF
+					}
+				}
+				c.Close()
+			}
+		}()
+	}
+	hung.Next(t)
+	l.stop()
+	left := l.left(t)
+	clients.Wait()
+	for id := range left {
+		if open[id] {
+			t.Errorf("%s has been taken on, and its client has no answer", id)
+		}
+	}
+	for id := range taken {
+		if left[id] == nil {
+			t.Errorf("%s has been answered, and is lost", id)
+		}
+	}
+	if len(taken) < 100 {
+		t.Errorf("only %d requests were taken on", len(taken))
+	}
+	t.Logf("%d taken on, %d without an answer", len(taken), len(open))
+}
+
+// Connections that wait to be accepted when the sender leaves are answered: closing the listener would reset them.
+func TestConnectionsInTheQueueAreAnsweredWhileLeaving(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Silent)
+	l := startLeaver(t, st.NewPlatform(t, e.Addr), func(c *Config) { c.Limits.Sockets = 4 }) // two clients at once
+	l.grace, l.leaveAfter = 0, 5*time.Second
+	st.HandIn(t, l.addr, "out", "unsafe", 0, 15*time.Second) // keeps it from leaving at once
+	e.Next(t)
+	var conns []net.Conn
+	for i := range 10 {
+		c, err := net.Dial("tcp", l.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(st.Wait))
+		if i < 2 { // these take the places, and say half of what they have to
+			io.WriteString(c, "POST /api HTTP/1.1\r\nHost: h\r\n")
+			continue
+		}
+		if err := st.Message(t, l.addr, "q"+strconv.Itoa(i), "safe", 0, 15*time.Second, "body").Write(c); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	l.stop()
+	for i, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("request %d in the queue: %v", i, err)
+		} else if resp.StatusCode != http.StatusAccepted && resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("request %d in the queue: %s", i, resp.Status)
+		}
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -215,7 +215,16 @@
 	go s.awaitSuccessor(work)
 
 	var grace, leave, cut <-chan time.Time
-	shut, answered := make(chan struct{}), false
+	var ended chan struct{} // nobody is let in any more: closed when all that came are answered
+	end := func() {
+		if ended == nil {
+			ended = make(chan struct{})
+			go func() {
+				s.server.end()
+				close(ended)
+			}()
+		}
+	}
 	idle := time.NewTicker(idleLook)
 	defer idle.Stop()
 	done := ctx.Done()
@@ -239,13 +248,12 @@
 			grace = nil
 			s.quitting = true
 			s.withhold(func(*outCall) bool { return true })
-			go func() { // it ends when every request that has come is answered
-				s.server.http.Shutdown(work)
-				close(shut)
-			}()
+			s.server.leave()
+		case <-s.server.calm:
 		case <-leave:
 			if leave = nil; !s.handed || s.out == 0 {
-				return s.leave(stop)
+				end()
+				break
 			}
 			// The successor must not send again what is still out here: it hears of each call's end first.
 			for _, m := range s.messages {
@@ -256,15 +264,19 @@
 			cut = time.After(cutTime)
 		case <-cut:
 			return s.leave(stop)
-		case <-shut:
-			shut, answered = nil, true
+		case <-ended:
+			return s.leave(stop)
 		case err := <-served:
 			if err != nil && !s.handed {
 				return errors.Join(fmt.Errorf("clients: %w", err), s.leave(stop))
 			}
 		}
-		if (answered || cut != nil) && s.out == 0 && len(s.owed) == 0 {
+		switch {
+		case s.out > 0 || len(s.owed) > 0:
+		case cut != nil:
 			return s.leave(stop)
+		case s.quitting && s.server.idle():
+			end()
 		}
 	}
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -206,70 +206,93 @@
 	}
 }
 
+// visitor is a connection as the server is told of it.
+func visitor(t *testing.T) *guest {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); peer.Close() })
+	return &guest{Conn: c, left: func() {}}
+}
+
+// letGo reports whether a connection is closed or will be, as nothing more is read from it.
+func (g *guest) letGo() bool {
+	g.SetDeadline(time.Now().Add(-time.Second))
+	_, err := g.Write([]byte{0})
+	return g.gone.Load() || !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Peers that only hold their connections make room for those that come: first who has been quiet for longest,
 // and nobody whose request is being answered.
 func TestHeldConnectionsMakeRoom(t *testing.T) {
 	t.Parallel()
 	s := newServer(&Config{Limits: Limits{Sockets: 6}}, newClock(), slog.New(slog.DiscardHandler), nil)
-	conns := map[string]net.Conn{}
+	conns := map[string]*guest{}
 	open := func(name string) {
-		a, b := net.Pipe()
-		t.Cleanup(func() { a.Close(); b.Close() })
-		conns[name] = a
-		s.track(a, http.StateNew)
-	}
-	closed := func(name string) bool {
-		conns[name].SetDeadline(time.Now().Add(-time.Second))
-		_, err := conns[name].Write([]byte{0})
-		return !errors.Is(err, os.ErrDeadlineExceeded)
+		conns[name] = visitor(t)
+		s.track(conns[name], http.StateNew)
 	}
 	open("busy")
 	s.track(conns["busy"], http.StateActive)
 	open("held")
-	if closed("held") {
-		t.Error("closed with room left")
+	if conns["held"].letGo() {
+		t.Error("let go with room left")
 	}
 	open("new")
 	for name, want := range map[string]bool{"busy": false, "held": true, "new": false} {
-		if closed(name) != want {
-			t.Errorf("%s: closed %v", name, !want)
+		if conns[name].letGo() != want {
+			t.Errorf("%s: let go %v", name, !want)
 		}
 	}
 	s.track(conns["held"], http.StateClosed)
 	s.track(conns["busy"], http.StateIdle) // quiet for less long than the new one
 	open("newer")
 	for name, want := range map[string]bool{"busy": false, "new": true, "newer": false} {
-		if closed(name) != want {
-			t.Errorf("%s: closed %v", name, !want)
+		if conns[name].letGo() != want {
+			t.Errorf("%s: let go %v", name, !want)
 		}
 	}
 }
 
 // Where no silent peer is left to make room, one that stops in the middle of its first request does; not a request
-// that has been read whole, nor a client's further one.
+// that has been read whole, nor a client's further one, nor one that has only just begun to come.
 func TestHalfSpokenPeersMakeRoom(t *testing.T) {
 	t.Parallel()
 	s := newServer(&Config{Limits: Limits{Sockets: 8}}, newClock(), slog.New(slog.DiscardHandler), nil)
-	conns := map[string]net.Conn{}
+	conns := map[string]*guest{}
 	for _, name := range []string{"client", "whole", "half"} {
-		a, b := net.Pipe()
-		t.Cleanup(func() { a.Close(); b.Close() })
-		conns[name] = a
-		s.track(a, http.StateNew)
-		s.track(a, http.StateActive)
+		conns[name] = visitor(t)
+		s.track(conns[name], http.StateNew)
+		s.track(conns[name], http.StateActive)
 		if name == "client" {
-			s.track(a, http.StateIdle)
-			s.track(a, http.StateActive)
+			s.track(conns[name], http.StateIdle)
+			s.track(conns[name], http.StateActive)
 		}
 	}
 	s.whole((&http.Request{}).WithContext(withConn(context.Background(), conns["whole"])))
-	a, b := net.Pipe()
-	t.Cleanup(func() { a.Close(); b.Close() })
-	s.track(a, http.StateNew)
-	for name, want := range map[string]bool{"client": false, "whole": false, "half": true} {
-		conns[name].SetDeadline(time.Now().Add(-time.Second))
-		if _, err := conns[name].Write([]byte{0}); !errors.Is(err, os.ErrDeadlineExceeded) != want {
-			t.Errorf("%s: closed %v", name, !want)
+	s.track(visitor(t), http.StateNew)
+	if conns["half"].letGo() {
+		t.Error("a request that has just begun to come is cut off")
+	}
+	for until := time.Now().Add(st.Wait); !conns["half"].letGo(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("half a request holds its place")
+		}
+	}
+	for _, name := range []string{"client", "whole"} {
+		if conns[name].letGo() {
+			t.Errorf("%s: let go", name)
 		}
 	}
 }
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -6,16 +6,16 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"dockshift.example/dockshift/brain"
 )
 
@@ -31,6 +31,14 @@
 	readTime   = 2500 * time.Millisecond // a whole request
 	idleTime   = 2200 * time.Millisecond
 	writeTime  = 5 * time.Second // an answer, to a peer that may not read
+
+	evictAgain = 20 * time.Millisecond // a request may take so long to come before it makes room for others
+
+	// At the end: for what waits in the queue to be taken in, for the answers to what has been read, and how often what is
+	// left is looked at.
+	queueTime  = 50 * time.Millisecond
+	answersEnd = 200 * time.Millisecond
+	endLook    = 10 * time.Millisecond
 )
 
 // submission is a message that a client hands in, on its way to the loop.
@@ -57,15 +65,19 @@
 	http    *http.Server
 	most    int // connections of clients at once
 
-	mu    sync.Mutex
-	open  int
-	quiet map[net.Conn]time.Time // without a request, since when
-	half  map[net.Conn]time.Time // in the middle of their first one, since when
-	known map[net.Conn]bool      // have had an answer: a further request may not be cut off
+	mu      sync.Mutex
+	door    *door
+	open    int
+	quiet   map[*guest]time.Time // without a request, since when
+	half    map[*guest]time.Time // in the middle of a request, since when
+	known   map[*guest]bool      // have had an answer: a further request may not be cut off
+	full    bool                 // and it will be looked at again soon
+	leaving bool
+	calm    chan struct{} // while it leaves: no request is open
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[net.Conn]time.Time{}, half: map[net.Conn]time.Time{}, known: map[net.Conn]bool{}}
+	s := &server{clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[*guest]time.Time{}, half: map[*guest]time.Time{}, known: map[*guest]bool{}, calm: make(chan struct{}, 1)}
 	s.conf.Store(c)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
@@ -83,11 +95,85 @@
 // serve answers on the listener until it is closed. Clients hold a part of the descriptors at most; further
 // ones wait to be accepted, while none of those connected can be let go.
 func (s *server) serve(l net.Listener) error {
-	err := s.http.Serve(netutil.LimitListener(l, s.most))
-	if errors.Is(err, http.ErrServerClosed) {
+	d := newDoor(l, s.most)
+	s.mu.Lock()
+	s.door = d
+	s.mu.Unlock()
+	err := s.http.Serve(d)
+	select {
+	case <-d.shut: // by us
 		return nil
+	default:
+		return err
+	}
+}
+
+// leave lets go of whoever has no request open, and tells calm whenever no request is. Who comes is still answered.
+func (s *server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.dismiss()
+	s.isCalm()
+}
+
+// dismiss lets go of those on whose connections nothing has come. Whatever waits unread on one is a request, and will be
+// answered. The caller holds the lock.
+func (s *server) dismiss() {
+	for g := range s.quiet {
+		if quiet(g) {
+			g.dismiss()
+		}
+	}
+}
+
+// idle reports whether no request is open.
+func (s *server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open <= len(s.quiet)
+}
+
+// isCalm tells it if no request is open. The caller holds the lock.
+func (s *server) isCalm() {
+	if s.leaving && s.open <= len(s.quiet) {
+		select {
+		case s.calm <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// end takes in and answers what has come so far, and lets nobody in any more. Requests that have not come whole by then
+// are answered as such. It takes no longer than queueTime and answersEnd.
+func (s *server) end() {
+	s.mu.Lock()
+	d := s.door
+	s.mu.Unlock()
+	if d == nil {
+		return
+	}
+	d.last()
+	select {
+	case <-d.empty:
+	case <-d.shut:
+	case <-time.After(queueTime):
+	}
+	d.Close()
+	look := time.NewTicker(endLook)
+	defer look.Stop()
+	for until := time.Now().Add(answersEnd); time.Now().Before(until); <-look.C {
+		s.mu.Lock()
+		s.dismiss()
+		for g := range s.half {
+			g.dismiss()
+		}
+		open := s.open
+		s.mu.Unlock()
+		if open == 0 {
+			return
+		}
 	}
-	return err
 }
 
 // connKey is where a request's context holds its connection.
@@ -99,56 +185,85 @@
 
 // whole marks the connection of a request that has been read to its end: from here on it is owed an answer.
 func (s *server) whole(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+	if g, ok := r.Context().Value(connKey{}).(*guest); ok {
 		s.mu.Lock()
-		delete(s.half, c)
+		delete(s.half, g)
 		s.mu.Unlock()
 	}
 }
 
 // track follows the connections. When the last place is taken, the one that has been without a request for
 // longest makes room, or if there is none the one that has been in the middle of its first one for longest: peers that only
-// hold their connection must not keep those out that have something to say.
+// hold their connection must not keep those out that have something to say. While it leaves, nobody is kept.
 func (s *server) track(c net.Conn, state http.ConnState) {
+	g := c.(*guest)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
 		s.open++
-		if s.open >= s.most {
-			s.evict()
-		}
-		s.quiet[c] = time.Now()
+		s.evict()
+		s.quiet[g] = time.Now()
 	case http.StateIdle:
-		s.quiet[c], s.known[c] = time.Now(), true
-		delete(s.half, c)
+		s.quiet[g], s.known[g] = time.Now(), true
+		delete(s.half, g)
 	case http.StateActive:
-		delete(s.quiet, c)
-		if !s.known[c] {
-			s.half[c] = time.Now()
-		}
+		delete(s.quiet, g)
+		s.half[g] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		s.open--
-		delete(s.quiet, c)
-		delete(s.half, c)
-		delete(s.known, c)
+		delete(s.quiet, g)
+		delete(s.half, g)
+		delete(s.known, g)
 	}
+	s.isCalm()
 }
 
 func (s *server) evict() {
-	for _, from := range []map[net.Conn]time.Time{s.quiet, s.half} {
-		var oldest net.Conn
-		for c, since := range from {
-			if oldest == nil || since.Before(from[oldest]) {
-				oldest = c
-			}
+	if s.open < s.most || s.evictQuiet() || s.evictHalf() || s.full {
+		return
+	}
+	// All that is left has just begun to speak. Nobody else is let in until there is room, so nothing else would ask again.
+	s.full = true
+	time.AfterFunc(evictAgain, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.full = false; s.open >= s.most && !s.evictHalf() {
+			s.evict()
 		}
-		if oldest != nil {
-			delete(from, oldest)
-			oldest.Close()
-			return
+	})
+}
+
+// evictQuiet lets go of who has said nothing. Where something has come, that is a request, read or not.
+func (s *server) evictQuiet() bool {
+	g := longest(s.quiet, func(g *guest) bool { return quiet(g) })
+	if g == nil {
+		return false
+	}
+	delete(s.quiet, g)
+	g.dismiss()
+	return true
+}
+
+// evictHalf closes on who has been in the middle of a first request for a while.
+func (s *server) evictHalf() bool {
+	g := longest(s.half, func(g *guest) bool { return !s.known[g] && time.Since(s.half[g]) >= evictAgain })
+	if g == nil {
+		return false
+	}
+	delete(s.half, g)
+	g.Close()
+	return true
+}
+
+// longest is the one that has been among those for longest, of those that may go.
+func longest(among map[*guest]time.Time, may func(*guest) bool) *guest {
+	for _, g := range slices.SortedFunc(maps.Keys(among), func(a, b *guest) int { return among[a].Compare(among[b]) }) {
+		if may(g) {
+			return g
 		}
 	}
+	return nil
 }
 
 func (s *server) header(next http.Handler) http.Handler {
