Take a held message's id for that message also while leaving, instead of refusing it

A client whose connection is closed across its request writes it once more, under the same id. Sender.submitted refused everything once the sender was quitting, before it looked whether it holds the id: the client would hand the message in anew while the next process delivers the first. The look-up now comes first, as it has no other condition: what is held is held, whatever the settings or the room say by now. The test fails without the change (503).

--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -156,3 +156,25 @@
 		}
 	}
 }
+
+// A request that comes again with the id of one that is held is that one, also while the sender leaves: refused, it would
+// be delivered all the same.
+func TestAHeldMessageThatComesAgainIsNotRefusedWhileLeaving(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Silent)
+	l := startLeaver(t, st.NewPlatform(t, e.Addr), nil)
+	l.grace, l.leaveAfter = 0, 2*time.Second
+	st.HandIn(t, l.addr, "held", "safe", 0, 15*time.Second)
+	e.Next(t)
+	l.stop()
+	for n, status := 0, 0; status != http.StatusServiceUnavailable; n++ {
+		resp, _ := st.Do(t, st.Message(t, l.addr, strconv.Itoa(n), "safe", 0, 15*time.Second, "body"))
+		status = resp.StatusCode
+	}
+	if resp, text := st.Do(t, st.Message(t, l.addr, "held", "safe", 0, 15*time.Second, "body")); resp.StatusCode != http.StatusAccepted {
+		t.Errorf("it is answered %s: %s", resp.Status, text)
+	}
+	if l.left(t)["held"] == nil {
+		t.Error("it is lost")
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -463,6 +463,10 @@
 		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, why}
 		return nil
 	}
+	if s.journal.byID[sub.ID] != nil { // handed in twice: it is ours already, and refused it would be delivered all the same
+		sub.answer <- answerLine{status: http.StatusAccepted}
+		return nil
+	}
 	if s.quitting {
 		return refuse("shutting down")
 	}
@@ -472,10 +476,6 @@
 		return nil
 	}
 	sub.tenant = place(s.c.Tenants, sub.Tenant, -1)
-	if s.journal.byID[sub.ID] != nil { // handed in twice: it is ours already
-		sub.answer <- answerLine{status: http.StatusAccepted}
-		return nil
-	}
 	if most := s.c.Settings.MostHeld; most > 0 && s.held >= most {
 		return refuse("all room for messages is taken")
 	}
