Test that what ends during a restart is ended by either process, and that leaving has a bound

A thousand messages with 0.9 s to live at a hung endpoint, ten that end while the sender leaves, and a platform whose first connections say nothing: every one is told of within 1.5 s of the next process's ready. Leaving takes its bound with an endpoint that hangs and clients that say nothing or half a request. Both held before; no test said so.

--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -178,3 +181,106 @@
 		t.Error("it is lost")
 	}
 }
+
+// silentAtFirst is a platform that answers nothing on the first connections: no list, and no notice. Notices it is told
+// later go to told.
+func silentAtFirst(t *testing.T, connections int) (addr string, told <-chan string) {
+	t.Helper()
+	ids := make(chan string, 10000)
+	var mu sync.Mutex
+	seen := map[net.Conn]bool{}
+	type key struct{}
+	p := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silent := r.Context().Value(key{}).(bool); silent || r.Method != http.MethodPost {
+			io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		for lines := bufio.NewScanner(r.Body); lines.Scan(); {
+			var n st.Notice
+			if err := json.Unmarshal(lines.Bytes(), &n); err != nil {
+				t.Error(err)
+			}
+			ids <- n.Message
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	p.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		mu.Lock()
+		defer mu.Unlock()
+		seen[c] = true
+		return context.WithValue(ctx, key{}, len(seen) <= connections)
+	}
+	p.Start()
+	t.Cleanup(func() { p.CloseClientConnections(); p.Close() })
+	return strings.TrimPrefix(p.URL, "http://"), ids
+}
+
+// A message whose time ends between SIGTERM and the next process's start is ended by one of the two within the protocol's
+// 1.5 s of ready, however many there are, with endpoints hanging and connections to discovery silent.
+func TestWhatEndsDuringARestartIsEndedByEither(t *testing.T) {
+	t.Parallel()
+	hung := st.NewEndpoint(t, st.Silent)
+	addr, told := silentAtFirst(t, 3) // the list, and notices before and after the restart
+	open := map[string]bool{}
+	edit := func(c *Config) { c.Settings.MostHeld = 1e6; c.Limits.DiskMB = 10; c.Discovery = addr }
+	l := startLeaver(t, st.NewPlatform(t, hung.Addr), edit)
+	l.grace, l.leaveAfter = 500*time.Millisecond, 700*time.Millisecond
+	hand := func(from, to int, class string, left time.Duration) {
+		for i := from; i < to; i++ {
+			id := class + strconv.Itoa(i)
+			st.HandIn(t, l.addr, id, class, 0, left)
+			open[id] = true
+		}
+	}
+	hand(0, 500, "safe", 900*time.Millisecond)
+	hand(0, 500, "unsafe", 900*time.Millisecond)
+	l.stop()
+	began := time.Now()
+	hand(500, 510, "unsafe", 250*time.Millisecond) // some end while it leaves
+	if err := st.Receive(t, l.done); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > l.leaveAfter+queueTime+answersEnd+500*time.Millisecond { // with room for a slow machine
+		t.Errorf("it left after %v", took)
+	}
+	next := startLeaver(t, st.NewPlatform(t, hung.Addr), func(c *Config) { edit(c); c.State = l.folder })
+	ready := time.Now()
+	for len(open) > 0 {
+		delete(open, st.Receive(t, told))
+	}
+	if took := time.Since(ready); took > 1500*time.Millisecond {
+		t.Errorf("all is told %v after ready", took)
+	}
+	next.stop()
+	if err := st.Receive(t, next.done); err != nil {
+		t.Error(err)
+	}
+}
+
+// Leaving takes no longer than its bound, with clients that say nothing, half or a request every moment.
+func TestLeavingHasABound(t *testing.T) {
+	t.Parallel()
+	hung := st.NewEndpoint(t, st.Silent)
+	l := startLeaver(t, st.NewPlatform(t, hung.Addr), nil)
+	l.grace, l.leaveAfter = 100*time.Millisecond, 300*time.Millisecond
+	for _, text := range []string{"", "POST /api HT", "POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"} {
+		c, err := net.Dial("tcp", l.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, text)
+	}
+	st.HandIn(t, l.addr, "out", "unsafe", 0, 15*time.Second)
+	hung.Next(t)
+	l.stop()
+	began := time.Now()
+	left := l.left(t)
+	if took := time.Since(began); took < l.leaveAfter || took > l.leaveAfter+queueTime+answersEnd+500*time.Millisecond {
+		t.Errorf("it left after %v", took)
+	}
+	if left["out"] == nil || len(left) != 1 {
+		t.Errorf("it leaves %d messages", len(left))
+	}
+}
