Tell a half-spoken peer that it makes room, before its connection is closed

server.evictHalf closed the connection at once: a request whose last bytes were just being read would have been taken on with no way left for its answer.

--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -1,10 +1,12 @@
 package sender
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -297,6 +299,39 @@
 	}
 }
 
+// Whoever makes room in the middle of a request is told so, before the connection is closed.
+func TestAHalfSpokenPeerThatMakesRoomIsTold(t *testing.T) {
+	t.Parallel()
+	addr := run(t, st.NewPlatform(t), func(c *Config) { c.Limits.Sockets = 8 })
+	said := time.Now()
+	first := make(chan string, 4)
+	for range 4 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		r := st.Message(t, addr, "half", "safe", 0, 9*time.Second, "")
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader("half")), 4
+		var text bytes.Buffer
+		if err := r.Write(&text); err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(said.Add(st.Wait))
+		c.Write(text.Bytes()[:text.Len()-2])
+		go func() {
+			line, err := bufio.NewReader(c).ReadString('\n')
+			first <- fmt.Sprint(line, err)
+		}()
+	}
+	if got := st.Receive(t, first); !strings.HasPrefix(got, "HTTP/1.1 400 ") {
+		t.Errorf("it got %s", got)
+	}
+	if took := time.Since(said); took > headerTime {
+		t.Errorf("it made room after %v", took)
+	}
+}
+
 // What cannot be held is refused before it is sent, and its client is told when to come back.
 func TestNoRoomIsARefusal(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -6,10 +6,8 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -234,38 +232,45 @@
 	})
 }
 
-// evictQuiet lets go of who has said nothing. Where something has come, that is a request, read or not.
+// evictQuiet lets go of who has said nothing for longest. Where something has come, that is a request, read or not.
 func (s *server) evictQuiet() bool {
-	g := longest(s.quiet, func(g *guest) bool { return quiet(g) })
-	if g == nil {
-		return false
+	for asked := map[*guest]bool{}; ; {
+		var oldest *guest
+		for g, since := range s.quiet {
+			if !asked[g] && (oldest == nil || since.Before(s.quiet[oldest])) {
+				oldest = g
+			}
+		}
+		switch {
+		case oldest == nil:
+			return false
+		case quiet(oldest): // nearly always the first one
+			delete(s.quiet, oldest)
+			oldest.dismiss()
+			return true
+		}
+		asked[oldest] = true
 	}
-	delete(s.quiet, g)
-	g.dismiss()
-	return true
 }
 
-// evictHalf closes on who has been in the middle of a first request for a while.
+// evictHalf lets go of who has been in the middle of a first request for longest, if that is a while. It is told so, and
+// should the rest have been read in this moment, that is answered; for no longer than a moment, as the place is needed.
 func (s *server) evictHalf() bool {
-	g := longest(s.half, func(g *guest) bool { return !s.known[g] && time.Since(s.half[g]) >= evictAgain })
-	if g == nil {
+	var oldest *guest
+	for g, since := range s.half {
+		if !s.known[g] && time.Since(since) >= evictAgain && (oldest == nil || since.Before(s.half[oldest])) {
+			oldest = g
+		}
+	}
+	if oldest == nil {
 		return false
 	}
-	delete(s.half, g)
-	g.Close()
+	delete(s.half, oldest)
+	oldest.dismiss()
+	time.AfterFunc(evictAgain, func() { oldest.Close() })
 	return true
 }
 
-// longest is the one that has been among those for longest, of those that may go.
-func longest(among map[*guest]time.Time, may func(*guest) bool) *guest {
-	for _, g := range slices.SortedFunc(maps.Keys(among), func(a, b *guest) int { return among[a].Compare(among[b]) }) {
-		if may(g) {
-			return g
-		}
-	}
-	return nil
-}
-
 func (s *server) header(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.closing.Load() {
