Tell an endpoint the time that is left when its call is written

pool.call and pool.callMany stated the whole time-out in X-Deadline-Ms, also where the connection had taken up to 1.5 s of it; by the protocol it says how long the sender will wait. The time against which answers are late runs from the same moment now.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -260,7 +260,7 @@
 }
 
 // request renders one call.
-func request(addr, path, contentType string, m record, body []byte, timeout time.Duration) ([]byte, error) {
+func request(addr, path, contentType string, m record, body []byte, told time.Duration) ([]byte, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -275,15 +275,16 @@
 	if contentType != "" {
 		req.Header.Set("Content-Type", contentType)
 	}
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(waits(timeout).Milliseconds(), 10))
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(told.Milliseconds(), 10))
 	var out bytes.Buffer
 	err = req.Write(&out)
 	return out.Bytes(), err
 }
 
-// waits is how long an endpoint is told that it is waited for, in whole milliseconds.
-func waits(timeout time.Duration) time.Duration {
-	return max(time.Millisecond, timeout.Truncate(time.Millisecond))
+// waits is how long an endpoint is told that it is waited for, in whole milliseconds: what is left when the call is
+// written, as the connection may have taken its time.
+func waits(until time.Time) time.Duration {
+	return max(time.Millisecond, time.Until(until).Truncate(time.Millisecond))
 }
 
 // call makes one attempt with one message and says how it ended. It never makes a second one: an endpoint
@@ -291,9 +292,11 @@
 // last byte is written. An answer that begins after the time told in the call is late, however soon it is found that the
 // time-out is up: the endpoint's side has given the call up, and does not take the message as delivered.
 func (p *pool) call(ctx, begin context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
-	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(waits(timeout))
+	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(timeout)
 	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
-		out, err := request(addr, "/hook", "", m, m.Body, timeout)
+		told := waits(until)
+		until = time.Now().Add(told)
+		out, err := request(addr, "/hook", "", m, m.Body, told)
 		return rendered{text: out, messages: 1}, err
 	})
 	if c != nil {
@@ -338,7 +341,7 @@
 		}
 		return ends
 	}
-	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(waits(timeout))
+	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(timeout)
 	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
 		var parts []part
 		var by time.Time
@@ -361,7 +364,9 @@
 		if err != nil {
 			return rendered{}, err
 		}
-		out, err := request(addr, "/hook/batch", "application/json", record{}, body, timeout)
+		told := waits(until)
+		until = time.Now().Add(told)
+		out, err := request(addr, "/hook/batch", "application/json", record{}, body, told)
 		return rendered{out, len(parts), by, items[0].way}, err
 	})
 	if c != nil {
