Know a message's id for some seconds after its end, also across a restart

A client writes a request once more, under the same id, where its connection is closed across it, and so it may where the process was killed after it had read it.

The test fails without the change.

--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -159,6 +159,31 @@
 	order  []*stored // in the order taken; ended ones are dropped when compacting
 
 	damaged int // lines that could not be read
+
+	// Messages that have ended lately, in two generations. A client whose connection is closed across its request writes it
+	// once more, under the same id, within the time that it waits for an answer.
+	ended, endedBefore map[string]struct{}
+	endedSince         time.Time
+}
+
+const (
+	endedFor  = 5 * time.Second // a generation lasts so long,
+	endedMost = 4096            // or until so many have ended
+)
+
+// remember keeps the id of a message that has ended after it was taken on.
+func (j *journal) remember(id string) {
+	if now := time.Now(); j.ended == nil || now.Sub(j.endedSince) > endedFor || len(j.ended) >= endedMost {
+		j.endedBefore, j.ended, j.endedSince = j.ended, map[string]struct{}{}, now
+	}
+	j.ended[id] = struct{}{}
+}
+
+// has reports whether a message is held, or has ended lately after it was taken on.
+func (j *journal) has(id string) bool {
+	_, now := j.ended[id]
+	_, before := j.endedBefore[id]
+	return j.byID[id] != nil || now || before
 }
 
 // openJournal reads what an earlier process left and begins a compacted file.
@@ -204,6 +229,9 @@
 		case m == nil:
 		case rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered):
 			j.remove(m)
+			if rec.How != answered {
+				j.remember(rec.ID)
+			}
 		default:
 			m.apply(&rec)
 		}
@@ -295,6 +323,9 @@
 	m.apply(&rec)
 	if rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered) {
 		j.remove(m)
+		if rec.How != answered {
+			j.remember(rec.ID)
+		}
 	}
 }
 
--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -284,3 +284,37 @@
 		t.Errorf("it leaves %d messages", len(left))
 	}
 }
+
+// A client that comes again at once with the same id, at the same process or the next, held or ended, has one message with
+// one end: what may have run and may not be repeated is not sent a second time, nor what was delivered.
+func TestAnIDThatComesAgainAcrossARestartIsOneMessage(t *testing.T) {
+	t.Parallel()
+	hung, quick := st.NewEndpoint(t, st.Silent), st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, hung.Addr, quick.Addr)
+	l := startLeaver(t, p, nil)
+	again := func(addr string) {
+		st.HandIn(t, addr, "doubt", "unsafe", 0, 3*time.Second)
+		st.HandIn(t, addr, "done", "unsafe", 1, 3*time.Second)
+	}
+	again(l.addr)
+	hung.Next(t)
+	quick.Next(t)
+	again(l.addr)
+	l.stop()
+	if err := st.Receive(t, l.done); err != nil {
+		t.Error(err)
+	}
+	next := startLeaver(t, p, func(c *Config) { c.State = l.folder })
+	again(next.addr)
+	if n := st.Receive(t, p.Notices); n.Message != "doubt" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	again(next.addr) // its end has been told, or is on its way
+	next.stop()
+	if err := st.Receive(t, next.done); err != nil {
+		t.Error(err)
+	}
+	if len(hung.Calls)+len(quick.Calls) > 0 {
+		t.Errorf("sent a second time: %d, %d", len(hung.Calls), len(quick.Calls))
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -463,7 +463,7 @@
 		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, why}
 		return nil
 	}
-	if s.journal.byID[sub.ID] != nil { // handed in twice: it is ours already, and refused it would be delivered all the same
+	if s.journal.has(sub.ID) { // handed in twice: it is ours already, and refused it would be delivered all the same
 		sub.answer <- answerLine{status: http.StatusAccepted}
 		return nil
 	}
