Take a message that was handed back as a new one when it comes again under its id

The change before kept the ids of all that had ended after being taken on, also of those that a notice had handed back: handing these in again is harmless by the protocol, and with 202 they would have waited for an end that nobody owes.

--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -171,12 +171,16 @@
 	endedMost = 4096            // or until so many have ended
 )
 
-// remember keeps the id of a message that has ended after it was taken on.
-func (j *journal) remember(id string) {
+// remember keeps the id of a message that has ended after it was taken on. One that was refused, in the answer or by a
+// notice, may come again.
+func (j *journal) remember(m *stored, last *record) {
+	if last.How == answered || m.how == handedBack {
+		return
+	}
 	if now := time.Now(); j.ended == nil || now.Sub(j.endedSince) > endedFor || len(j.ended) >= endedMost {
 		j.endedBefore, j.ended, j.endedSince = j.ended, map[string]struct{}{}, now
 	}
-	j.ended[id] = struct{}{}
+	j.ended[m.ID] = struct{}{}
 }
 
 // has reports whether a message is held, or has ended lately after it was taken on.
@@ -229,9 +233,7 @@
 		case m == nil:
 		case rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered):
 			j.remove(m)
-			if rec.How != answered {
-				j.remember(rec.ID)
-			}
+			j.remember(m, &rec)
 		default:
 			m.apply(&rec)
 		}
@@ -323,9 +325,7 @@
 	m.apply(&rec)
 	if rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered) {
 		j.remove(m)
-		if rec.How != answered {
-			j.remember(rec.ID)
-		}
+		j.remember(m, &rec)
 	}
 }
 
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -266,3 +266,33 @@
 		t.Errorf("came back with %d messages, a is %+v", len(again.byID), m)
 	}
 }
+
+// The id of a message that has ended is known for a while, also by the next process; that of one that was refused is not, as
+// its client may come again.
+func TestEndedMessagesAreKnown(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	for _, how := range []string{delivered, givenUp, handedBack, answered} {
+		m, err := j.take(record{ID: how, Class: "safe"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		j.note(m, record{Op: "over", How: how})
+		if how == givenUp || how == handedBack {
+			j.note(m, record{Op: "told"})
+		}
+	}
+	check := func(j *journal) {
+		for how, want := range map[string]bool{delivered: true, givenUp: true, handedBack: false, answered: false} {
+			if j.has(how) != want {
+				t.Errorf("%s is known: %v", how, !want)
+			}
+		}
+	}
+	check(j)
+	if err := j.close(); err != nil {
+		t.Fatal(err)
+	}
+	check(openTest(t, dir, 1<<20))
+}
