Keep the ids of messages that have ended through compactions and hand-overs

A client whose connection was closed across its request writes it once more under the same id; after two restarts or a hand-over within those seconds it was taken on anew, and a message that may never be repeated was sent a second time.

Ruled out: the replay itself (it remembers what it reads), and the generations (5 to 10 s, by the next process's clock).

The compacted file now begins with a record "past" for each such id, with the time of its end; what they take counts in the bound that taking on goes by, and at most a sixteenth of the budget. A message taken anew under an old id forgets its first end.

Tests, seen to fail without the records: the id survives three restarts in a row and two hand-overs in a row on real sockets.

--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -134,6 +134,31 @@
 	}
 }
 
+// A client that comes again with the id of a message that ended just before the hand-over has its answer, and the message is
+// not sent a second time.
+func TestEndedIDsSurviveAHandOver(t *testing.T) {
+	t.Parallel()
+	quick := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, quick.Addr)
+	state := t.TempDir()
+	addr, listen := platformSocket(t)
+	admin, stopOld := beside(t, p, state, listen)
+	st.HandIn(t, addr, "done", "unsafe", 0, 15*time.Second)
+	quick.Next(t)
+	wantFigures(t, admin, map[string]int{"succeeded.unsafe": 1, "outstanding": 0})
+	for range 2 { // and a hand-over after that
+		_, stop := beside(t, p, state, listen)
+		st.HandIn(t, addr, "done", "unsafe", 0, 15*time.Second)
+		stopOld()
+		stopOld = stop
+	}
+	st.HandIn(t, addr, "done", "unsafe", 0, 15*time.Second)
+	st.HandIn(t, addr, "new", "unsafe", 0, 15*time.Second)
+	if c := quick.Next(t); c.ID != "new" {
+		t.Errorf("%s is sent again", c.ID)
+	}
+}
+
 // Calls that the old process still has out when it ends may have run: what may be repeated goes out again, and
 // only then.
 func TestUpgradeCutsCallsOff(t *testing.T) {
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -41,7 +41,7 @@
 
 // record is one line. Times are the clock's: Unix nanoseconds.
 type record struct {
-	Op string `json:"op"` // take, send, end, over, told
+	Op string `json:"op"` // take, send, end, over, told, past
 	ID string `json:"id"`
 
 	// take: the message as its client handed it in; in a compacted file with what came of it so far
@@ -61,6 +61,8 @@
 
 	How     string `json:"how,omitempty"` // over
 	RetryMS int64  `json:"retry_ms,omitempty"`
+
+	At time.Duration `json:"at,omitempty"` // over, told, past: when the message ended, by wall-clock time
 }
 
 // rules are those that a message was taken under. The settings may name its class no more, or otherwise, by the
@@ -162,31 +164,48 @@
 
 	// Messages that have ended lately, in two generations. A client whose connection is closed across its request writes it
 	// once more, under the same id, within the time that it waits for an answer.
-	ended, endedBefore map[string]struct{}
-	endedSince         time.Time
+	ended, endedBefore generation
+}
+
+// generation is the ids of messages that ended one after another, and when each did.
+type generation struct {
+	at    map[string]time.Duration
+	since time.Time
+	cost  int64 // what they take in a compacted file
 }
 
 const (
 	endedFor  = 5 * time.Second // a generation lasts so long,
-	endedMost = 4096            // or until so many have ended
+	endedMost = 4096            // or until so many have ended,
+	endedPart = 32              // or they take this part of the budget
 )
 
 // remember keeps the id of a message that has ended after it was taken on. One that was refused, in the answer or by a
 // notice, may come again.
 func (j *journal) remember(m *stored, last *record) {
-	if last.How == answered || m.how == handedBack {
-		return
+	if last.How != answered && m.how != handedBack {
+		j.keep(m.ID, last.At)
+	}
+}
+
+func (j *journal) keep(id string, at time.Duration) {
+	g := &j.ended
+	if g.at == nil || time.Since(g.since) > endedFor || len(g.at) >= endedMost || g.cost > j.budget/endedPart {
+		j.live -= j.endedBefore.cost
+		j.endedBefore, *g = *g, generation{at: map[string]time.Duration{}, since: time.Now()}
 	}
-	if now := time.Now(); j.ended == nil || now.Sub(j.endedSince) > endedFor || len(j.ended) >= endedMost {
-		j.endedBefore, j.ended, j.endedSince = j.ended, map[string]struct{}{}, now
+	if _, again := g.at[id]; !again {
+		line, _ := encode(io.Discard, &record{Op: "past", ID: id, At: at})
+		g.cost += int64(line)
+		j.live += int64(line)
 	}
-	j.ended[m.ID] = struct{}{}
+	g.at[id] = at
 }
 
 // has reports whether a message is held, or has ended lately after it was taken on.
 func (j *journal) has(id string) bool {
-	_, now := j.ended[id]
-	_, before := j.endedBefore[id]
+	_, now := j.ended.at[id]
+	_, before := j.endedBefore.at[id]
 	return j.byID[id] != nil || now || before
 }
 
@@ -225,7 +244,13 @@
 			continue
 		}
 		switch m := j.byID[rec.ID]; {
+		case rec.Op == "past":
+			if age := wallClock() - rec.At; age < 2*endedFor {
+				j.keep(rec.ID, rec.At)
+			}
 		case rec.Op == "take":
+			delete(j.ended.at, rec.ID) // it came again, when it was no longer known
+			delete(j.endedBefore.at, rec.ID)
 			if m != nil { // an id is used again only once its message is over
 				j.remove(m)
 			}
@@ -319,6 +344,9 @@
 // note adds a record on a message; flush writes it.
 func (j *journal) note(m *stored, rec record) {
 	rec.ID = m.ID
+	if rec.Op == "told" || rec.Op == "over" {
+		rec.At = wallClock()
+	}
 	if _, err := encode(&j.buf, &rec); err != nil {
 		j.failed = true
 	}
@@ -373,6 +401,16 @@
 	w := bufio.NewWriterSize(f, 1<<16)
 	var size int64
 	kept := make([]*stored, 0, len(j.byID))
+	for _, g := range []generation{j.endedBefore, j.ended} {
+		for id, at := range g.at {
+			n, err := encode(w, &record{Op: "past", ID: id, At: at})
+			size += int64(n)
+			if err != nil {
+				f.Close()
+				return err
+			}
+		}
+	}
 	for _, m := range j.order {
 		if j.byID[m.ID] != m {
 			continue
@@ -410,3 +448,6 @@
 	}
 	return err
 }
+
+// wallClock is the time that means the same to the next process.
+func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -294,5 +296,77 @@
 	if err := j.close(); err != nil {
 		t.Fatal(err)
 	}
-	check(openTest(t, dir, 1<<20))
+	for range 3 { // a restart within a restart: each start compacts the file
+		j = openTest(t, dir, 1<<20)
+		check(j)
+		if err := j.close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// An id that came again after it was forgotten, and was refused then, may come once more, whatever the file says of its first end.
+func TestAnIDThatIsUsedAgainIsKnownByItsLastEnd(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	for _, how := range []string{delivered, answered} {
+		m, err := j.take(record{ID: "a", Class: "safe"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		j.note(m, record{Op: "over", How: how})
+		if err := j.compact(); err != nil {
+			t.Fatal(err)
+		}
+		if how == delivered { // it is forgotten
+			j.ended, j.endedBefore = generation{}, generation{}
+		}
+	}
+	if err := j.close(); err != nil {
+		t.Fatal(err)
+	}
+	if openTest(t, dir, 1<<20).has("a") {
+		t.Error("a message that was refused is taken for one that has ended")
+	}
+}
+
+// Ids of messages that have ended are kept within the budget, too, and make no room scarce for good.
+func TestEndedIDsStayWithinTheBudget(t *testing.T) {
+	t.Parallel()
+	const budget = 64 << 10
+	dir := t.TempDir()
+	j := openTest(t, dir, budget)
+	for i := range 5000 {
+		m, err := j.take(record{ID: strings.Repeat("<", maxName-5) + strconv.Itoa(i), Class: "safe"})
+		if err != nil {
+			t.Fatalf("message %d: %v", i, err)
+		}
+		j.note(m, record{Op: "over", How: delivered})
+		if err := j.flush(); err != nil {
+			t.Fatalf("message %d: %v", i, err)
+		}
+		if size := folderSize(t, dir); size > budget {
+			t.Fatalf("%d bytes after message %d", size, i)
+		}
+	}
+	if !j.has(strings.Repeat("<", maxName-5) + "4999") {
+		t.Error("the last one is forgotten")
+	}
+}
+
+func folderSize(t *testing.T, dir string) (size int64) {
+	t.Helper()
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		info, err := e.Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += info.Size()
+	}
+	return size
 }
