Keep how a call ended while a successor dies with the news

Two things came together: the test asked for the estate before the second call's answer was booked, and a call that ends while a successor has everything was only told to that successor. Where the call was of a process before that, it even counted as out for good: nothing ever ended its message.

The end is now kept with the call until the process leaves, and booked when it takes up everything again, unless the dead one had gone on with the message by then. TestSuccessorDies now waits until each delivery is booked; it checks as much as before.

--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -359,14 +359,7 @@
 			s.out--
 		}
 		for _, end := range e.ends {
-			m := end.message
-			if m.calls[end.attempt] == nil {
-				continue
-			}
-			delete(m.calls, end.attempt)
-			if s.heir != nil {
-				s.heir.send(packet{Ended: &flightEnd{flightID{m.ID, m.base + end.attempt}, end.AttemptEnd}})
-			}
+			s.relayEnd(end)
 		}
 	case toldEvent:
 		s.telling = false // the successor tells them once more, which does no harm
@@ -389,8 +382,8 @@
 		case e.link != s.heir && e.Submit != nil:
 			s.passOn(s.relayedSubmission(ctx, e.link, e.Submit))
 		case e.link != s.heir && e.Ended != nil:
-			if s.heir != nil {
-				s.heir.send(packet{Ended: e.Ended})
+			if m := s.byID[e.Ended.Flight.ID]; m != nil {
+				s.relayEnd(itemEnd{m, e.Ended.Flight.Try - m.base, e.Ended.End})
 			}
 		case e.lost:
 			s.heir = nil
@@ -441,7 +434,7 @@
 	var ends []itemEnd
 	for _, m := range s.messages {
 		for attempt, c := range m.calls {
-			if c.at == from {
+			if c.at == from && c.end == nil {
 				ends = append(ends, itemEnd{m, attempt, brain.AttemptEnd{Endpoint: c.endpoint, Outcome: brain.Broken,
 					Elapsed: max(0, s.clock.now()-m.Tries[m.base+attempt].At)}})
 			}
@@ -454,14 +447,24 @@
 		return ends
 	}
 	for _, e := range ends {
-		delete(e.message.calls, e.attempt)
-		if s.heir != nil {
-			s.heir.send(packet{Ended: &flightEnd{flightID{e.message.ID, e.message.base + e.attempt}, e.AttemptEnd}})
-		}
+		s.relayEnd(e)
 	}
 	return nil
 }
 
+// relayEnd tells the successor how an attempt ended, and keeps that: should it die before it has written it down, nobody else
+// will tell it again.
+func (s *Sender) relayEnd(e itemEnd) {
+	c := e.message.calls[e.attempt]
+	if c == nil || c.end != nil {
+		return
+	}
+	c.end = &e.AttemptEnd
+	if s.heir != nil {
+		s.heir.send(packet{Ended: &flightEnd{flightID{e.message.ID, e.message.base + e.attempt}, e.AttemptEnd}})
+	}
+}
+
 // fromPredecessor takes in what the process before this one says.
 func (s *Sender) fromPredecessor(ctx context.Context, e linkEvent) []brain.Event {
 	switch {
@@ -519,13 +522,22 @@
 	old := s.byID
 	s.messages, s.byID, s.held = map[brain.MessageID]*message{}, map[string]*message{}, 0
 	s.resume(ctx, st, func(f flight) *outCall { // the calls themselves are ours as before
-		return old[f.ID.ID].calls[f.ID.Try-old[f.ID.ID].base]
+		c := *old[f.ID.ID].calls[f.ID.Try-old[f.ID.ID].base]
+		c.end = nil
+		return &c
 	})
 	s.log.Warn("serving again after the successor's death", "held", s.held)
 	go s.awaitSuccessor(ctx)
 	waiting := s.passed
 	s.passed = map[uint64]submission{}
 	var events []brain.Event
+	for _, m := range old {
+		for attempt, c := range m.calls {
+			if c.end != nil { // the dead one may have heard it, and then it is in the journal
+				events = append(events, s.callEnded(callEnd{ends: []itemEnd{{m, attempt, *c.end}}})...)
+			}
+		}
+	}
 	for _, sub := range waiting { // the dead one may have taken it on: then it is in the journal
 		events = append(events, s.take(ctx, sub)...)
 	}
--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/gob"
 	"io"
 	"net"
 	"net/http"
@@ -197,13 +198,7 @@
 	st.HandIn(t, addr, "out", "unsafe", 0, 15*time.Second)
 	slow.Next(t)
 	for n := range 2 {
-		l, _, estate, err := askHolder(context.Background(), state)
-		for until := time.Now().Add(st.Wait); err != nil && time.Now().Before(until); { // its socket may come up after its ok
-			l, _, estate, err = askHolder(context.Background(), state)
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
+		l, _, estate := takeOver(t, state)
 		if len(estate.Flights) != 1 || estate.Flights[0].ID != (flightID{"out", 0}) {
 			t.Errorf("calls handed over: %+v", estate.Flights)
 		}
@@ -215,11 +210,78 @@
 		if c := quick.Next(t); c.ID != id {
 			t.Errorf("the endpoint got %s", c.ID)
 		}
+		wantFigures(t, admin, map[string]int{"succeeded.unsafe": n + 1}) // else it is handed over as out, too
 	}
 	close(open)
 	wantFigures(t, admin, map[string]int{"outstanding": 0, "succeeded.unsafe": 3, "aborted.unsafe": 0, "forwards": 3})
 }
 
+// takeOver plays a successor by hand: it has the estate of the holder and does nothing with it.
+func takeOver(t *testing.T, state string) (*link, *gob.Decoder, *estate) {
+	t.Helper()
+	for until := time.Now().Add(st.Wait); ; time.Sleep(time.Millisecond) { // the holder's socket may come up after its ok
+		l, dec, e, err := askHolder(context.Background(), state)
+		if err == nil {
+			t.Cleanup(l.close)
+			return l, dec, e
+		}
+		if time.Now().After(until) {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A call that ends while a successor has everything, and dies with the news, has ended all the same: its message is neither
+// forgotten nor taken for one that may have run. That holds for calls of the process before, too.
+func TestEndsToldToASuccessorThatDies(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		answer func(st.Call, net.Conn) bool
+		want   map[string]int
+		again  bool
+	}{
+		"delivered":   {st.Status(200), map[string]int{"outstanding": 0, "succeeded.unsafe": 1, "aborted.unsafe": 0}, false},
+		"turned away": {st.Status(503), map[string]int{"outstanding": 1, "aborted.unsafe": 0}, true},
+		"in doubt":    {st.Status(500), map[string]int{"outstanding": 0, "aborted.unsafe": 1}, false},
+	} {
+		for _, processes := range []int{1, 2} {
+			t.Run(name+" "+strconv.Itoa(processes), func(t *testing.T) {
+				t.Parallel()
+				open := make(chan struct{})
+				e := st.NewEndpoint(t, func(call st.Call, conn net.Conn) bool { <-open; return c.answer(call, conn) })
+				p := st.NewPlatform(t, e.Addr)
+				state := t.TempDir()
+				addr, listen := platformSocket(t)
+				var admin string
+				for n := range processes {
+					admin, _ = beside(t, p, state, listen)
+					if n == 0 {
+						st.HandIn(t, addr, "m", "unsafe", 0, 15*time.Second)
+						e.Next(t)
+					}
+				}
+				l, dec, estate := takeOver(t, state)
+				if len(estate.Flights) != 1 {
+					t.Fatalf("calls handed over: %+v", estate.Flights)
+				}
+				close(open)
+				var told packet
+				if err := dec.Decode(&told); err != nil || told.Ended == nil {
+					t.Fatalf("the successor is told %+v, %v", told, err)
+				}
+				l.close()
+				waitHealth(t, admin, "ok\n")
+				wantFigures(t, admin, c.want)
+				if c.again {
+					e.Next(t)
+				} else if len(e.Calls) > 0 {
+					t.Error("it is sent again")
+				}
+			})
+		}
+	}
+}
+
 // What a process that was killed has left stops no start: its socket is a file that nobody listens on.
 func TestStaleSocket(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -57,6 +57,8 @@
 	cancel   func()
 	withhold func() // it ends, unless it has been written
 	at       *link  // the process that makes it, nil for this one
+
+	end *brain.AttemptEnd // it has ended, and a successor was told so
 }
 
 // Sender is one real sender.
