Mend three crossings of a hand-over: retry pauses, requests nobody takes, the listener's end

Read line by line: handover.go and its places in loop.go and server.go. Found, and mended, each small:

The estate now carries it, also back to the old process. - Where the successor dies after SIGTERM's grace, what still came was kept for it and never answered. Nobody can have taken it on: it is refused. What had been sent to the successor stays without an answer, as it may have been taken on there. - handOver closed the listener itself, so that its Serve ended with an error. That was passed over only while a successor has everything: a process that took everything up again before its loop had looked at it would have ended as if clients could not be served. By reading only; it is now closed as we close it elsewhere, which is no error. - The socket for a newcomer was left listening by each process that took up everything again: one descriptor each time.

Read and found sound: the holder's death before, during and after the estate (the lock is the only truth; calls are ended as broken 30 ms after the link), a newcomer that is told to end before it has the lock, requests and answers on the way (each has one entry in `passed` until one answer), a notice that crosses (told twice, which does no harm), SIGHUP while a successor has everything.

--- a/brain/api.go
+++ b/brain/api.go
@@ -101,6 +101,8 @@
 	RanZone  int           // to this zone
 	Rules    *Rules        // those that it was taken under; nil for those of the settings
 	Out      *Out          // an attempt that is out, after those; the list must have named its endpoint
+
+	NotBefore time.Duration // it rests until this clock time after a failed attempt
 }
 
 // Rules are what a message is held to from the time that it was taken on, whatever the settings say later.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -886,6 +886,25 @@
 
 // A message that an earlier process had keeps what was done with it: a key out of its window, an unsafe
 // one that may have run and one without attempts left are not sent again.
+func TestAResumedMessageRestsOn(t *testing.T) {
+	r := newRig(t, settings())
+	m := r.message(0, 0, 0)
+	m.Tried, m.NotBefore = 1, r.now+400*ms
+	if sends := r.step(m); len(sends) > 0 {
+		t.Errorf("sent in its pause: %v", sends)
+	}
+	if rests := r.b.Resting()[m.ID]; rests != m.NotBefore {
+		t.Errorf("it rests until %v, not %v", rests, m.NotBefore)
+	}
+	r.now += 400 * ms
+	if sends := r.step(Alarm{}); len(sends) != 1 {
+		t.Errorf("after its pause: %v", sends)
+	}
+	if rests := r.b.Resting(); len(rests) > 0 {
+		t.Errorf("resting: %v", rests)
+	}
+}
+
 func TestResumedMessages(t *testing.T) {
 	for name, c := range map[string]struct {
 		class int
--- a/brain/memory.go
+++ b/brain/memory.go
@@ -108,6 +108,17 @@
 	return m
 }
 
+// Resting is until when messages rest after a failed attempt.
+func (b *Brain) Resting() map[MessageID]time.Duration {
+	rests := map[MessageID]time.Duration{}
+	for _, m := range b.held {
+		if m.notBefore > b.now && m.out == 0 {
+			rests[m.ID] = m.notBefore
+		}
+	}
+	return rests
+}
+
 // Recall takes in what an earlier Brain remembered. The list must have been told before, and no message.
 func (b *Brain) Recall(m Memory) {
 	b.started, b.random = m.Started, m.Random
--- a/brain/state.go
+++ b/brain/state.go
@@ -361,7 +361,7 @@
 		rules = &Rules{b.s.Classes[msg.Class], b.s.MaxAttempts}
 	}
 	m := &message{Message: msg, class: &rules.Class, most: rules.MaxAttempts, dest: b.destination(msg.Destination),
-		mayRun: msg.MayRun, firstRun: msg.FirstRun, ranZone: msg.RanZone}
+		mayRun: msg.MayRun, firstRun: msg.FirstRun, ranZone: msg.RanZone, notBefore: msg.NotBefore}
 	b.byID[m.ID] = m
 	b.held = append(b.held, m)
 	if msg.Out != nil && b.endpoints[msg.Out.Endpoint] != nil {
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -50,6 +51,7 @@
 	ListVersion int64
 	Endpoints   []Target // by the module's number, those that are gone as DELETED
 	Flights     []flight
+	Rests       map[string]time.Duration // until when messages rest after a failed attempt
 	Memory      brain.Memory
 }
 
@@ -300,6 +302,7 @@
 		link := newLink(c)
 		s.post(ctx, helloEvent{link})
 		go link.listen(dec, func(e any) { s.post(ctx, e) })
+		return // who takes everything up again listens anew
 	}
 }
 
@@ -320,19 +323,22 @@
 func (s *Sender) handOver(to *link) {
 	s.heir, s.handed = to, true
 	s.server.closing.Store(true)
-	if s.listener != nil {
-		s.listener.Close()
-	}
+	s.server.shut()
 	s.pool.leaving.Store(true)
 	for _, e := range s.list.byNumber {
 		s.pool.closeIdle(e, 0)
 	}
 	s.withhold(func(*outCall) bool { return true }) // of what is begun from now on only the newcomer knows whether it may
-	st := &estate{ListVersion: s.listVersion, Flights: s.flights(), Memory: s.brain.Remember()}
+	st := &estate{ListVersion: s.listVersion, Flights: s.flights(), Rests: map[string]time.Duration{}, Memory: s.brain.Remember()}
 	for _, e := range s.list.byNumber {
 		st.Endpoints = append(st.Endpoints, e.target)
 	}
-	s.memory = st.Memory
+	for id, until := range s.brain.Resting() {
+		if m := s.messages[id]; m != nil {
+			st.Rests[m.ID] = until
+		}
+	}
+	s.memory, s.rests = st.Memory, st.Rests
 	s.log.Info("handing over", "held", s.held, "calls", len(st.Flights))
 	s.journal.flush()
 	s.journal.compact() // the successor reads it while clients wait; where it fails, the longer file says the same
@@ -406,8 +412,14 @@
 	}
 }
 
-// passOn hands a request to the successor. Without one it waits: if this process takes the lock again, it is ours.
+// passOn hands a request to the successor. Without one it waits: if this process takes the lock again, it is ours. Where it
+// does not any more, nobody can have taken the request on.
 func (s *Sender) passOn(sub submission) {
+	if s.heir == nil && s.quitting {
+		s.figures.declined(sub.Class)
+		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, "shutting down"}
+		return
+	}
 	s.seq++
 	s.passed[s.seq] = sub
 	if s.heir != nil {
@@ -501,7 +513,7 @@
 // regain takes everything up again after the successor's death. What that had out may have run; our own calls
 // are still out.
 func (s *Sender) regain(ctx context.Context, lock *os.File) {
-	st := &estate{Flights: s.flights(), Memory: s.memory}
+	st := &estate{Flights: s.flights(), Rests: s.rests, Memory: s.memory}
 	s.lock = lock
 	if err := s.openJournal(); err != nil {
 		s.log.Error("the journal cannot be had again", "err", err)
--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/gob"
 	"io"
@@ -282,6 +283,80 @@
 	}
 }
 
+// A message that rests after failed attempts does so in the next process, too, and in the old one that takes it up again.
+func TestRetryPausesSurviveAHandOver(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(500))
+	p := st.NewPlatform(t, e.Addr)
+	state := t.TempDir()
+	addr, listen := platformSocket(t)
+	admin, _ := beside(t, p, state, listen)
+	st.HandIn(t, addr, "m", "safe", 0, 15*time.Second)
+	for range 3 {
+		e.Next(t)
+	}
+	var rests time.Time
+	for booked := false; !booked; { // its last answer may not have been: then its call is handed over as out
+		l, _, est := takeOver(t, state)
+		booked = len(est.Flights) == 0
+		until, ok := est.Rests["m"]
+		if rests = time.Unix(0, int64(until)); booked && !ok {
+			t.Errorf("it does not rest: %+v", est)
+		}
+		l.close()
+		waitHealth(t, admin, "ok\n")
+	}
+	beside(t, p, state, listen) // the old one has it again, and hands it on
+	if e.Next(t); time.Now().Before(rests) {
+		t.Errorf("it was sent %v too early", time.Until(rests))
+	}
+}
+
+// Where a successor dies and this process is about to end, nobody can have taken on what comes now: it is refused, and its
+// client can come again.
+func TestWhatComesAfterASuccessorsDeathWhileLeavingIsRefused(t *testing.T) {
+	t.Parallel()
+	hung := st.NewEndpoint(t, st.Silent)
+	addr, listen := platformSocket(t)
+	l := &leaver{Sender: newTest(t, st.NewPlatform(t, hung.Addr), nil), done: make(chan error, 1)}
+	l.grace, l.leaveAfter = 0, 2*time.Second
+	var ctx context.Context
+	ctx, l.stop = context.WithCancel(context.Background())
+	go func() { l.done <- l.Run(ctx, listen) }()
+	st.HandIn(t, addr, "out", "unsafe", 0, 15*time.Second)
+	hung.Next(t)
+	var halves []net.Conn // whoever is in the middle of a request is not let go
+	for i := range 20 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		var text bytes.Buffer
+		st.Message(t, addr, "late"+strconv.Itoa(i), "unsafe", 0, 15*time.Second, "xy").Write(&text)
+		c.Write(text.Bytes()[:text.Len()-1])
+		halves = append(halves, c)
+	}
+	heir, _, _ := takeOver(t, l.folder)
+	l.stop()
+	heir.close()
+	refused := false
+	for _, c := range halves { // until both have been noticed
+		io.WriteString(c, "y")
+		c.SetDeadline(time.Now().Add(400 * time.Millisecond)) // as long as a client waits
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			refused = resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""
+			break
+		}
+	}
+	if !refused {
+		t.Error("no request is refused")
+	}
+	if left := l.left(t); len(left) != 1 || left["out"] == nil {
+		t.Errorf("it leaves %v", left)
+	}
+}
+
 // What a process that was killed has left stops no start: its socket is a file that nobody listens on.
 func TestStaleSocket(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -92,15 +92,15 @@
 
 	folder      string // the configuration's State
 	listVersion int64
-	listener    net.Listener
 	reopen      func() // listens for clients again
 
-	lock        *os.File              // on the state folder; nil if it could not be had, or after a hand-over
-	predecessor *link                 // the process that this one took over from, while it runs
-	inbox       *gob.Decoder          // of that
-	handed      bool                  // a successor decides
-	heir        *link                 // it, while it runs
-	memory      brain.Memory          // what was handed to it
+	lock        *os.File     // on the state folder; nil if it could not be had, or after a hand-over
+	predecessor *link        // the process that this one took over from, while it runs
+	inbox       *gob.Decoder // of that
+	handed      bool         // a successor decides
+	heir        *link        // it, while it runs
+	memory      brain.Memory // what was handed to it
+	rests       map[string]time.Duration
 	passed      map[uint64]submission // requests that it has not answered yet
 	seq         uint64
 
@@ -196,8 +196,8 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		s.listener = l
-		go func() { served <- s.server.serve(l) }()
+		d := s.server.listenOn(l)
+		go func() { served <- s.server.serve(d) }()
 		s.server.closing.Store(false)
 		s.server.ready.Store(true)
 		s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
@@ -337,6 +337,9 @@
 		msg := brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Deadline: m.Deadline,
 			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone, Rules: m.Rules.forBrain()}
+		if st != nil {
+			msg.NotBefore = st.Rests[m.ID]
+		}
 		// Only the last attempt can be out; an endpoint that no list has named has no call.
 		if f, out := flying[m.ID]; out && f.ID.Try == len(m.Tries)-1 && int(f.Endpoint) < len(s.list.byNumber) {
 			held := s.messages[msg.ID]
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -90,13 +90,18 @@
 	return s
 }
 
-// serve answers on the listener until it is closed. Clients hold a part of the descriptors at most; further
-// ones wait to be accepted, while none of those connected can be let go.
-func (s *server) serve(l net.Listener) error {
+// listenOn takes a listener for what follows. Clients hold a part of the descriptors at most; further ones wait to be
+// accepted, while none of those connected can be let go.
+func (s *server) listenOn(l net.Listener) *door {
 	d := newDoor(l, s.most)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.door = d
-	s.mu.Unlock()
+	return d
+}
+
+// serve answers on the listener until it is closed.
+func (s *server) serve(d *door) error {
 	err := s.http.Serve(d)
 	select {
 	case <-d.shut: // by us
@@ -106,6 +111,16 @@
 	}
 }
 
+// shut lets nobody in any more. Whoever waits in the queue of a listener that is not the platform's is reset.
+func (s *server) shut() {
+	s.mu.Lock()
+	d := s.door
+	s.mu.Unlock()
+	if d != nil {
+		d.Close()
+	}
+}
+
 // leave lets go of whoever has no request open, and tells calm whenever no request is. Who comes is still answered.
 func (s *server) leave() {
 	s.mu.Lock()
