Open a silent watch anew in time also when the next call is silent, and take no list that goes back

Seen: by reading, and by a scripted agent on real sockets. Two faults of the same few lines:

After a watch had fallen silent (given up 4 s after its call where senders are many) the call for the whole list was waited for as long as all senders need in turn, 6 s. Were that silent, too, a list came after 10.2 s; what it tells binds after 6 s, and a drain 500 ms later. After a reload the first call at the new address was waited for 6 s, its news bind after 4 s. Where the module asks for the list, its rest of 1 s after a failure came on top. And a rest after refusals went up to 24 s. Now each call that does not wait takes half of what is left until the news bind, at least 1 s and doubling after that; a first silence is not told to the module but answered by a call at once, on a connection of its own; rests end while there is time for an answer, until that time is over. 2. Whatever had the form of a list was taken: an older version (a platform that lags behind after a reload), none at all, a whole list without servers. The first brings back endpoints that have drained, the last drops all. Now such an answer is a failed call, and the last good list stays. The version held is kept across failures and addresses.

Ruled out: a late answer to an old watch (its connection is closed with the call, nobody reads it), a gap of more than 200 ms between two calls of a watch (none but the rests after refusals), indented lists (read as any JSON), a change against a whole list (both come by one watch, in order).

Tests on real sockets: silence before the first answer, in mid-answer, right after one, twice in a row, during a reload and twice then, with 3 and 300 senders; ten answers that are no list.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -31,9 +31,11 @@
 	perSender = 300 * time.Millisecond
 	fewOfUs   = 4 // senders that need not take turns
 	// The turns of hundreds would outlast the protocol's times, though: what the platform has to tell binds after
-	// 6 s, and 2 s after a watch's wait, whether its answer has come or not. So no answer is waited for longer, and
-	// the first rest is no longer; only further refusals lead to longer ones, as then haste would serve nobody.
+	// 6 s, and 2 s after a watch's wait, whether its answer has come or not; 4 s after it has moved. So no answer is waited
+	// for longer, and of what is left after one that never came each call takes half, that another may follow. Nor does a rest
+	// outlast that time; only once it is over, rests get longer, as then haste would serve nobody.
 	bindsBy   = 6 * time.Second
+	movedBy   = 4 * time.Second
 	watchLate = 2 * time.Second
 	restMost  = 4 * bindsBy
 	// What the agent holds already binds a sender from its start on, with the 500 ms that a drain leaves: whoever asks
@@ -69,10 +71,13 @@
 	first  time.Duration // before the first call; no time at all where a single process has been replaced
 	pace   time.Duration // this one's rest after a call that was work; it belongs to the watch
 
+	held int64 // version of the list held, -1 for none; it belongs to the watch
+
 	mu    sync.Mutex
 	base  string
 	here  context.Context // until the platform moves
 	leave context.CancelFunc
+	binds time.Time // by then what has not been told binds all the same
 }
 
 // move turns to another address. What is out at the old one is broken off and goes to the new.
@@ -85,10 +90,27 @@
 	if d.leave != nil {
 		d.leave()
 	}
+	if d.base != "" {
+		d.binds = time.Now().Add(movedBy)
+	}
 	d.base = "http://" + addr
 	d.here, d.leave = context.WithCancel(context.Background())
 }
 
+// heard notes a sign of life: what the platform has to tell from now on binds later.
+func (d *discovery) heard() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.binds = time.Now().Add(bindsBy)
+}
+
+// left is the time until what has not been told binds.
+func (d *discovery) left() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Until(d.binds)
+}
+
 // at is where the platform is now, and a context that ends with ctx or when it moves.
 func (d *discovery) at(ctx context.Context) (base string, here context.Context, cancel context.CancelFunc) {
 	d.mu.Lock()
@@ -105,18 +127,27 @@
 	if turns > 0 { // after a release all come at once
 		first = rand.N(min(others*perFirst, firstMost))
 	}
-	d := &discovery{turns: turns, first: first, client: &http.Client{
+	d := &discovery{turns: turns, first: first, held: -1, client: &http.Client{
 		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + bindsBy},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		}}}
 	d.move(addr)
+	d.heard()
 	return d
 }
 
 // pause waits after the n-th failure in a row, a little less or more each time; false if ctx ended.
 func (d *discovery) pause(ctx context.Context, n int) bool {
-	return rest(ctx, max(d.pace, min(backOff<<min(n-1, 10), backOffTop)))
+	return rest(ctx, max(d.inTime(d.pace), min(backOff<<min(n-1, 10), backOffTop)))
+}
+
+// inTime cuts a rest so that a further call still has time before what it would tell binds.
+func (d *discovery) inTime(rest time.Duration) time.Duration {
+	if left := d.left(); left > answerTime {
+		return min(rest, left-answerTime)
+	}
+	return rest
 }
 
 // rest waits for d, or a good deal less; false if ctx ended.
@@ -136,37 +167,56 @@
 	}
 }
 
-// list asks for the whole list, or after a version for what is newer, waiting for it.
-func (d *discovery) list(ctx context.Context, base string, after int64) (Targets, error) {
-	var t Targets
-	url, limit := base+"/api/targets", min(answerTime+d.turns, bindsBy)
+// patience is how long an answer to a call for the whole list is waited for, after so many failures in a row.
+func (d *discovery) patience(failures int) time.Duration {
+	return min(answerTime+d.turns, bindsBy, max(d.left()/2, answerTime<<min(max(0, failures-1), 10)))
+}
+
+// list asks for the whole list, or after a version for what is newer, waiting for it. An answer that is no list, or one older
+// than what is held, is an error.
+func (d *discovery) list(ctx context.Context, base string, after int64, limit time.Duration) (Targets, error) {
+	var t struct {
+		Targets
+		Version *int64 `json:"version"`
+	}
+	url := base + "/api/targets"
 	if after >= 0 {
 		url += fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
-		limit = watchWait + min(limit, watchLate)
+		limit = watchWait + min(answerTime+d.turns, watchLate)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return t, err
+		return t.Targets, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return t, err
+		return t.Targets, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
-		return t, refusedError(resp.Status)
+		return t.Targets, refusedError(resp.Status)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
-		return t, err
+		return t.Targets, err
 	}
 	if err := json.Unmarshal(raw, &t); err != nil {
-		return t, fmt.Errorf("discovery's list: %w", err)
+		return t.Targets, fmt.Errorf("discovery's list: %w", err)
 	}
-	return t, nil
+	switch {
+	case t.Version == nil:
+		return t.Targets, errors.New("discovery's list has no version")
+	case t.Full && t.Servers == nil:
+		return t.Targets, errors.New("discovery's list is whole, and has no servers")
+	case *t.Version < d.held: // it would bring back what has drained or gone since
+		return t.Targets, fmt.Errorf("discovery's list goes back from version %d to %d", d.held, *t.Version)
+	}
+	t.Targets.Version, d.held = *t.Version, *t.Version
+	d.heard()
+	return t.Targets, nil
 }
 
 // refusedError is an answer other than the list.
@@ -184,10 +234,10 @@
 }
 
 // watch follows the list from a version on, -1 for none, until a call fails; then it returns. The next
-// call goes out as soon as an answer is passed on: a gap would end the watch.
-func (d *discovery) watch(ctx context.Context, base string, version int64, news func(Targets)) error {
+// call goes out as soon as an answer is passed on: a gap would end the watch. A first call that does not wait has so long.
+func (d *discovery) watch(ctx context.Context, base string, version int64, patience time.Duration, news func(Targets)) error {
 	for {
-		t, err := d.list(ctx, base, version)
+		t, err := d.list(ctx, base, version, patience)
 		if err != nil {
 			return err
 		}
@@ -198,7 +248,7 @@
 		// that this is too much, what comes in the next moments comes with one call. A watch in which nothing
 		// happens goes on at no cost.
 		if fresh && d.pace > 0 {
-			if !rest(ctx, d.pace) {
+			if !rest(ctx, d.inTime(d.pace)) {
 				return ctx.Err()
 			}
 			if d.pace = d.pace * 3 / 4; d.pace < 2*backOff {
@@ -209,9 +259,12 @@
 }
 
 // follow watches when asked to. After a failure the list is asked for whole, as changes may have been missed;
-// who asks decides when, and failures in a row are told of ever later.
+// who asks decides when, and failures in a row are told of ever later. A first failure that is mere silence is not told: a watch
+// may be broken alone, and the next call is made at once, on a connection of its own.
 func (d *discovery) follow(ctx context.Context, version int64, asked <-chan struct{}, news func(Targets), failed func(error)) {
 	failures := 0
+	d.held = version
+	d.heard()
 	if d.first > 0 && !wait(ctx, d.first) {
 		return
 	}
@@ -222,17 +275,22 @@
 			return
 		}
 		var err error
-		for moved := true; moved; version = -1 { // at a new address it goes on at once, from the whole list
+		for again := true; again; version = -1 { // at a new address it goes on at once, from the whole list
 			base, here, cancel := d.at(ctx)
-			err = d.watch(here, base, version, func(t Targets) {
+			err = d.watch(here, base, version, d.patience(failures), func(t Targets) {
 				failures = 0
 				news(t)
 			})
 			d.slowDown(err)
+			if !errors.As(err, new(refusedError)) {
+				d.client.CloseIdleConnections() // they may be as silent
+			}
 			if failures++; failures > 1 || d.pace > 0 {
 				d.pause(here, max(1, failures-1))
 			}
-			if moved = here.Err() != nil; moved {
+			moved := here.Err() != nil
+			again = moved || failures == 1 && errors.Is(err, context.DeadlineExceeded)
+			if moved {
 				failures = 0
 			}
 			cancel()
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -31,7 +32,7 @@
 			}))
 			t.Cleanup(s.Close)
 			d := newDiscovery(strings.TrimPrefix(s.URL, "http://"), c.senders)
-			list, err := d.list(context.Background(), s.URL, -1)
+			list, err := d.list(context.Background(), s.URL, -1, d.patience(0))
 			if served := err == nil && list.Version == 7; served != c.served {
 				t.Errorf("served %v: %v", served, err)
 			}
@@ -105,7 +106,7 @@
 	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	t.Cleanup(s.Close)
 	began := time.Now()
-	if _, err := d.list(context.Background(), s.URL, 7); err == nil {
+	if _, err := d.list(context.Background(), s.URL, 7, 0); err == nil {
 		t.Error("an answer from an agent that is silent")
 	}
 	if took := time.Since(began); took > watchWait+watchLate+time.Second {
@@ -160,3 +161,134 @@
 		t.Errorf("told after %v", took)
 	}
 }
+
+// scripted is an agent whose calls for the list are answered by one script after another, the last one for all further ones.
+func scripted(t *testing.T, scripts ...http.HandlerFunc) (addr string, calls *atomic.Int32) {
+	t.Helper()
+	calls = new(atomic.Int32)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		scripts[min(int(calls.Add(1)), len(scripts))-1](w, r)
+	}))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return strings.TrimPrefix(s.URL, "http://"), calls
+}
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func lists(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, text) }
+}
+
+// half begins an answer and says no more.
+func half(w http.ResponseWriter, r *http.Request) {
+	io.WriteString(w, `{"version":9,"full":true,"ser`)
+	w.(http.Flusher).Flush()
+	<-r.Context().Done()
+}
+
+// newsOf follows an agent's list from a version on, and gives what is told.
+func newsOf(t *testing.T, d *discovery, version int64) <-chan Targets {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	asked, done, told := make(chan struct{}, 1), make(chan struct{}), make(chan Targets, 1000)
+	asked <- struct{}{}
+	go func() {
+		defer close(done)
+		d.follow(ctx, version, asked, func(n Targets) { told <- n }, func(error) { asked <- struct{}{} })
+	}()
+	t.Cleanup(func() { cancel(); st.Receive(t, done) })
+	return told
+}
+
+// A watch that falls silent is given up and opened anew while there is still time to heed what it misses, whenever that
+// happens and even where the next one is as silent: 6 s after the silence began, or 4 s after a new address was told.
+func TestASilentWatchIsOpenedAnewInTime(t *testing.T) {
+	t.Parallel()
+	old, now := lists(`{"version":7,"full":false,"servers":[]}`), lists(`{"version":8,"full":true,"servers":[]}`)
+	for name, scripts := range map[string][]http.HandlerFunc{
+		"before its first answer": {silent, now},
+		"in mid-answer":           {old, half, now},
+		"right after an answer":   {old, silent, now},
+		"twice in a row":          {old, silent, silent, now},
+		"twice from the start":    {silent, silent, now},
+		"twice in mid-answer":     {old, half, half, now},
+	} {
+		for _, senders := range []int{3, 300} {
+			t.Run(fmt.Sprint(name, " ", senders), func(t *testing.T) {
+				t.Parallel()
+				addr, _ := scripted(t, scripts...)
+				d := newDiscovery(addr, senders)
+				began := time.Now()
+				for told := newsOf(t, d, 7); st.Receive(t, told).Version < 8; {
+				}
+				if took := time.Since(began); took > bindsBy+400*time.Millisecond { // a drain leaves 500 ms after that
+					t.Errorf("it took %v", took)
+				}
+			})
+		}
+	}
+	for name, scripts := range map[string][]http.HandlerFunc{
+		"during a reload":       {silent, now},
+		"twice during a reload": {silent, half, now},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first, calls := scripted(t, old, silent)
+			next, _ := scripted(t, scripts...)
+			d := newDiscovery(first, 300)
+			told := newsOf(t, d, 7)
+			st.Receive(t, told)
+			for calls.Load() < 2 { // the watch is out
+				time.Sleep(time.Millisecond)
+			}
+			began := time.Now()
+			d.move(next)
+			for st.Receive(t, told).Version < 8 {
+			}
+			if took := time.Since(began); took > movedBy+400*time.Millisecond {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// An answer that is no list, or an older one than is held, changes nothing: it would bring back what has drained since.
+func TestListsThatCannotBeUsedChangeNothing(t *testing.T) {
+	t.Parallel()
+	good := "{\r\n  \"version\" : 9,\r\n\t\"full\" : true,\r\n  \"servers\" : [ ]\r\n}\r\n" // indented
+	for name, text := range map[string]string{
+		"older":            `{"version":6,"full":true,"servers":[]}`,
+		"an older change":  `{"version":6,"full":false,"servers":[]}`,
+		"no version":       `{"full":true,"servers":[]}`,
+		"a word for it":    `{"version":"8","full":true,"servers":[]}`,
+		"no servers":       `{"version":8,"full":true}`,
+		"null for servers": `{"version":8,"full":true,"servers":null}`,
+		"empty":            "",
+		"cut":              `{"version":8,"full":true,"servers":[{"id":"s-1"`,
+		"a page":           "<html>busy</html>",
+		"an empty object":  "{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, _ := scripted(t, lists(`{"version":7,"full":true,"servers":[]}`), lists(text), lists(text), lists(good))
+			told := newsOf(t, newDiscovery(addr, 3), -1)
+			for _, want := range []int64{7, 9} {
+				if n := st.Receive(t, told); n.Version != want {
+					t.Errorf("told %+v, not version %d", n, want)
+				}
+			}
+		})
+	}
+}
+
+// Where refusals make a sender rest, it asks again while there is still time to heed what it would be told.
+func TestRestsAfterRefusalsLeaveTimeForAnAnswer(t *testing.T) {
+	t.Parallel()
+	d := newDiscovery("127.0.0.1:1", 300)
+	for range 3 {
+		d.slowDown(refusedError("503"))
+	}
+	if rest := d.inTime(d.pace); rest > bindsBy-answerTime || rest < bindsBy/2 {
+		t.Errorf("it rests for %v", rest)
+	}
+}
