Lose no answer to a close: behind unread bytes, in the middle of a request, as the grace ends

Read line by line: server.go and door.go against net/http's serve loop, for a request's bytes against our shutdown, the end of reading and the close. Three places where an answer that was owed could be destroyed, each forced by a test on real sockets:

- An answer that ends its connection was closed over whatever lay unread behind it (a pipelined request, a body not read): a reset, which may overtake the answer.
The connection now says its end, and drops what comes for 0.2 s or 256 KiB at most, then closes.
- When the grace was over, whoever had sent a part of a head was let go as if at rest: the part was in our buffer, the socket empty.
So was whoever had just connected.
Both are answered now (503 while leaving); only who rests after an answer is let go.
A byte of the next request that net/http reads ahead counts as begun.
- Who made room in the middle of a request was closed 20 ms later even if its end had been read by then and it had been taken on.
Once the end has been read, the connection waits for its answer.

Read and found sound: the listener's queue (emptied, then closed), a request that is just being read when its connection is let go (served; a body that has not come gets 400), a body half come (400 at the end), a resting connection (closed only while nothing has come; what crosses that is unread, and its client writes it again), a write that the system holds back (Go sets TCP_NODELAY).

--- a/internal/sender/door.go
+++ b/internal/sender/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -21,6 +22,7 @@
 	close  func() error
 	empty  chan struct{} // closed when the queue has been emptied, and with it the listener
 	last   func()        // empties it
+	cut    atomic.Bool   // connections are closed at once
 }
 
 func newDoor(l net.Listener, most int) *door {
@@ -49,7 +51,7 @@
 	}
 	c, err := d.Listener.Accept()
 	if err == nil {
-		return &guest{Conn: c, left: sync.OnceFunc(func() { <-d.places })}, nil
+		return &guest{Conn: c, cut: &d.cut, left: sync.OnceFunc(func() { <-d.places })}, nil
 	}
 	<-d.places
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -63,10 +65,20 @@
 // guest is a client's connection.
 type guest struct {
 	net.Conn
-	left func()
-	gone atomic.Bool // nothing more is read
+	left     func()
+	gone     atomic.Bool  // nothing more is read
+	begun    atomic.Bool  // something of a request has been read since the last answer
+	owed     atomic.Bool  // a request has been read to its end
+	answered atomic.Bool  // something has been written
+	cut      *atomic.Bool // the door's: nobody is waited for any more
 }
 
+const (
+	// A client that has sent more than was read has so long, and so many bytes, to take its answer.
+	lingerTime = 200 * time.Millisecond
+	lingerMost = 256 << 10
+)
+
 // dismiss ends the reading. Unlike a close it costs nobody an answer: a request that has been read already, by whoever
 // was just reading, is still served, and the connection is closed then.
 func (g *guest) dismiss() {
@@ -79,11 +91,27 @@
 	if g.gone.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	return g.Conn.Read(b)
+	n, err := g.Conn.Read(b)
+	if n > 0 {
+		g.begun.Store(true)
+	}
+	return n, err
 }
 
+func (g *guest) Write(b []byte) (int, error) {
+	g.answered.Store(true)
+	g.begun.Store(false) // before the client can go on: what is read from now on is its next request
+	return g.Conn.Write(b)
+}
+
+// Close makes no reset of what lies unread, as that may destroy an answer on its way: the client is told the end, and what it
+// still says is dropped for a moment.
 func (g *guest) Close() error {
 	defer g.left()
+	if g.answered.Load() && !g.cut.Load() && !quiet(g.Conn) && g.CloseWrite() == nil {
+		g.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		io.Copy(io.Discard, io.LimitReader(g.Conn, lingerMost))
+	}
 	return g.Conn.Close()
 }
 
--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -318,3 +319,104 @@
 		t.Errorf("sent a second time: %d, %d", len(hung.Calls), len(quick.Calls))
 	}
 }
+
+// written is a request as it is sent.
+func written(t *testing.T, r *http.Request) string {
+	t.Helper()
+	var text bytes.Buffer
+	if err := r.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	return text.String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(st.Wait))
+	return c
+}
+
+// inQuitting waits until a leaving sender begins no call any more: then it refuses what is new.
+func (l *leaver) inQuitting(t *testing.T) {
+	t.Helper()
+	for n, status := 0, 0; status != http.StatusServiceUnavailable; n++ {
+		resp, _ := st.Do(t, st.Message(t, l.addr, "probe"+strconv.Itoa(n), "safe", 7, 15*time.Second, "body"))
+		status = resp.StatusCode
+	}
+}
+
+// What lies unread behind a request whose answer ends the connection does not destroy that answer: a close over unread
+// bytes would be a reset.
+func TestAnAnswerOutlivesWhatLiesUnreadBehindIt(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Silent)
+	l := startLeaver(t, st.NewPlatform(t, e.Addr), nil)
+	l.grace, l.leaveAfter = 2*time.Second, 2*time.Second
+	st.HandIn(t, l.addr, "out", "safe", 0, 15*time.Second)
+	e.Next(t)
+	l.stop()
+	for { // until answers end their connections
+		if resp, _ := st.Do(t, st.Message(t, l.addr, "out", "safe", 0, 15*time.Second, "body")); resp.Close {
+			break
+		}
+	}
+	for i := range 50 {
+		c := dial(t, l.addr)
+		first := written(t, st.Message(t, l.addr, "out", "safe", 0, 15*time.Second, "body"))
+		second := written(t, st.Message(t, l.addr, "behind"+strconv.Itoa(i), "safe", 0, 15*time.Second, strings.Repeat("x", 20000)))
+		io.WriteString(c, first+second)
+		answers, err := io.ReadAll(c) // to the end, which is no reset
+		if err != nil || strings.Count(string(answers), "HTTP/1.1 202") != 1 {
+			t.Fatalf("answered %q, %v", answers, err)
+		}
+	}
+	if left := l.left(t); len(left) != 1 {
+		t.Errorf("requests are taken on behind the last answer: %v", left)
+	}
+}
+
+// Whoever has begun to speak, or has just come, when the grace is over gets an answer: the sender is there for a while yet.
+func TestWhoHasBegunToSpeakWhenTheGraceEndsIsAnswered(t *testing.T) {
+	t.Parallel()
+	hung := st.NewEndpoint(t, st.Silent)
+	l := startLeaver(t, st.NewPlatform(t, hung.Addr), nil)
+	l.grace, l.leaveAfter = 0, 5*time.Second
+	st.HandIn(t, l.addr, "out", "unsafe", 0, 15*time.Second)
+	hung.Next(t)
+	type client struct {
+		net.Conn
+		name, rest string
+	}
+	var clients []client
+	request := func(n int) string {
+		return written(t, st.Message(t, l.addr, "late"+strconv.Itoa(n), "safe", 0, 15*time.Second, "body"))
+	}
+	for n, said := range []int{0, 1, 40, len(request(2)) - 2} {
+		fresh, used := dial(t, l.addr), dial(t, l.addr)
+		io.WriteString(fresh, request(2 * n)[:said])
+		clients = append(clients, client{fresh, "fresh", request(2 * n)[said:]})
+		if said == 0 { // at rest: that may be closed
+			continue
+		}
+		io.WriteString(used, written(t, st.Message(t, l.addr, "out", "unsafe", 0, 15*time.Second, "body")))
+		if resp, err := http.ReadResponse(bufio.NewReader(used), nil); err != nil || resp.StatusCode != http.StatusAccepted {
+			t.Fatal(resp, err)
+		}
+		io.WriteString(used, request(2*n + 1)[:said])
+		clients = append(clients, client{used, "used", request(2*n + 1)[said:]})
+	}
+	l.stop()
+	l.inQuitting(t)
+	for _, c := range clients {
+		io.WriteString(c, c.rest)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("a %s connection with %d bytes to come: %+v, %v", c.name, len(c.rest), resp, err)
+		}
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -286,7 +286,7 @@
 // leave ends the process's work: what is out is cut off and stays written down as such.
 func (s *Sender) leave(stop context.CancelFunc) error {
 	stop()
-	s.server.http.Close()
+	s.server.close()
 	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed), "shared", s.shared)
 	if s.heir != nil {
 		s.heir.drain()
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -225,7 +226,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close(); peer.Close() })
-	return &guest{Conn: c, left: func() {}}
+	return &guest{Conn: c, left: func() {}, cut: new(atomic.Bool)}
 }
 
 // letGo reports whether a connection is closed or will be, as nothing more is read from it.
@@ -299,6 +300,34 @@
 	}
 }
 
+// A request whose end is read in the moment in which its connection makes room is owed its answer: it may have been taken on,
+// however long the answer takes.
+func TestARequestReadWholeAsItMakesRoomIsAnswered(t *testing.T) {
+	t.Parallel()
+	s := newServer(&Config{Limits: Limits{Sockets: 4}}, newClock(), slog.New(slog.DiscardHandler), nil)
+	half, other := visitor(t), visitor(t)
+	for _, g := range []*guest{half, other} {
+		s.track(g, http.StateNew)
+		s.track(g, http.StateActive)
+	}
+	closed := make(chan struct{})
+	other.left = sync.OnceFunc(func() { close(closed) })
+	s.track(visitor(t), http.StateNew)
+	for until := time.Now().Add(st.Wait); !half.gone.Load(); {
+		if time.Now().After(until) {
+			t.Fatal("half a request holds its place")
+		}
+	}
+	s.whole((&http.Request{}).WithContext(withConn(context.Background(), half)))
+	s.mu.Lock()
+	s.evictHalf()
+	s.mu.Unlock()
+	st.Receive(t, closed) // the next one makes room, later than this one would have been closed
+	if _, err := half.Write([]byte("HTTP/1.1 202 Accepted\r\n\r\n")); err != nil {
+		t.Errorf("its answer: %v", err)
+	}
+}
+
 // Whoever makes room in the middle of a request is told so, before the connection is closed.
 func TestAHalfSpokenPeerThatMakesRoomIsTold(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -121,12 +121,17 @@
 	}
 }
 
-// leave lets go of whoever has no request open, and tells calm whenever no request is. Who comes is still answered.
+// leave lets go of whoever rests after an answer, and tells calm whenever no request is open. Who comes is still answered,
+// and so is who has just come, or has begun to speak.
 func (s *server) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
-	s.dismiss()
+	for g := range s.quiet {
+		if s.known[g] && !g.begun.Load() && quiet(g) {
+			g.dismiss()
+		}
+	}
 	s.isCalm()
 }
 
@@ -140,6 +145,17 @@
 	}
 }
 
+// close ends all connections at once.
+func (s *server) close() {
+	s.mu.Lock()
+	d := s.door
+	s.mu.Unlock()
+	if d != nil {
+		d.cut.Store(true)
+	}
+	s.http.Close()
+}
+
 // idle reports whether no request is open.
 func (s *server) idle() bool {
 	s.mu.Lock()
@@ -201,6 +217,7 @@
 // whole marks the connection of a request that has been read to its end: from here on it is owed an answer.
 func (s *server) whole(r *http.Request) {
 	if g, ok := r.Context().Value(connKey{}).(*guest); ok {
+		g.owed.Store(true)
 		s.mu.Lock()
 		delete(s.half, g)
 		s.mu.Unlock()
@@ -222,6 +239,7 @@
 	case http.StateIdle:
 		s.quiet[g], s.known[g] = time.Now(), true
 		delete(s.half, g)
+		g.owed.Store(false)
 	case http.StateActive:
 		delete(s.quiet, g)
 		s.half[g] = time.Now()
@@ -270,8 +288,8 @@
 	}
 }
 
-// evictHalf lets go of who has been in the middle of a first request for longest, if that is a while. It is told so, and
-// should the rest have been read in this moment, that is answered; for no longer than a moment, as the place is needed.
+// evictHalf lets go of who has been in the middle of a first request for longest, if that is a while. It is told so, and has
+// a moment to hear it, as the place is needed. Should the rest have been read just now, that is answered as any other request.
 func (s *server) evictHalf() bool {
 	var oldest *guest
 	for g, since := range s.half {
@@ -284,7 +302,11 @@
 	}
 	delete(s.half, oldest)
 	oldest.dismiss()
-	time.AfterFunc(evictAgain, func() { oldest.Close() })
+	time.AfterFunc(evictAgain, func() {
+		if !oldest.owed.Load() {
+			oldest.Close()
+		}
+	})
 	return true
 }
 
