Give a request that comes twice in one step the answer of the first

Seen: by reading. A message that is held is answered 202 when it comes again. Between the record of the first and the end of the loop's step the module may still refuse it for want of room: then the first got 503 and the second had 202 already, for a message that nobody holds: its client would wait for an end that never comes.

While the first waits for its answer the second now waits with it.

Test: both in one step of a full sender; without the change they are answered 503 and 202.

--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -420,3 +420,28 @@
 		}
 	}
 }
+
+// A message that comes twice in one step has one fate: where the first is refused the second is not taken on.
+func TestARequestThatComesTwiceAtOnceHasOneAnswer(t *testing.T) {
+	t.Parallel()
+	s := newTest(t, st.NewPlatform(t, "127.0.0.1:1"), func(c *Config) { c.Settings.MostHeld = 20 })
+	defer s.journal.close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	hand := func(id string) submission {
+		return submission{record: record{ID: id, Class: "safe", Tenant: "acme", Dest: 5, Deadline: s.clock.now() + time.Minute},
+			answer: make(chan answerLine, 1)}
+	}
+	for i := range 19 {
+		s.turn(ctx, hand("m"+strconv.Itoa(i)))
+	}
+	first, second := hand("x"), hand("x")
+	s.events <- second
+	s.turn(ctx, first)
+	if a, b := st.Receive(t, first.answer), st.Receive(t, second.answer); a.status != http.StatusServiceUnavailable || b != a {
+		t.Errorf("answered %+v and %+v", a, b)
+	}
+	if s.held != 19 {
+		t.Errorf("%d messages are held", s.held)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -42,10 +42,10 @@
 type message struct {
 	*stored
 	number brain.MessageID
-	base   int              // attempts made by earlier processes
-	sends  int              // and by this one
-	answer chan answerLine  // its client still waits; nil once answered
-	calls  map[int]*outCall // out, by the Brain's number of the attempt
+	base   int               // attempts made by earlier processes
+	sends  int               // and by this one
+	answer []chan answerLine // its client still waits, on more than one connection if it came twice; nil once answered
+	calls  map[int]*outCall  // out, by the Brain's number of the attempt
 	ended  bool
 }
 
@@ -334,7 +334,7 @@
 			continue
 		}
 		first, may := m.firstRun()
-		msg := brain.Message{ID: s.hold(m, nil), Class: place(s.c.Classes, m.Class, -1),
+		msg := brain.Message{ID: s.hold(m), Class: place(s.c.Classes, m.Class, -1),
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Deadline: m.Deadline,
 			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone, Rules: m.Rules.forBrain()}
 		if st != nil {
@@ -374,7 +374,7 @@
 }
 
 // hold gives a message its number.
-func (s *Sender) hold(st *stored, answer chan answerLine) brain.MessageID {
+func (s *Sender) hold(st *stored, answer ...chan answerLine) brain.MessageID {
 	s.last++
 	m := &message{stored: st, number: s.last, base: len(st.Tries), answer: answer, calls: map[int]*outCall{}}
 	s.messages[m.number], s.byID[st.ID] = m, m
@@ -469,7 +469,11 @@
 		return nil
 	}
 	if s.journal.has(sub.ID) { // handed in twice: it is ours already, and refused it would be delivered all the same
-		sub.answer <- answerLine{status: http.StatusAccepted}
+		if m := s.byID[sub.ID]; m != nil && m.answer != nil {
+			m.answer = append(m.answer, sub.answer) // whether the first is taken on is being decided
+		} else {
+			sub.answer <- answerLine{status: http.StatusAccepted}
+		}
 		return nil
 	}
 	if s.quitting {
@@ -707,7 +711,9 @@
 	if m == nil || m.answer == nil {
 		return false
 	}
-	m.answer <- a
+	for _, answer := range m.answer {
+		answer <- a
+	}
 	m.answer = nil
 	return true
 }
