Heed SIGHUP after SIGTERM, and SIGTERM before the sender is ready

Seen: by reading, then by a process under signals.

- A reload was handed to the loop under the context that SIGTERM ends: after it the configuration was taken or dropped by chance (select with both cases ready), while discovery had moved already.
It now goes by a context that ends with the loop.
Without the change the first reload after SIGTERM is lost.
- Told to end before it was ready, a sender still took up its messages, began calls, listened and said "ready" for a moment: clients came to a process that leaves, and calls were cut that the next process could have made whole.
Now it takes nothing up; told in the middle of that, it does not listen.

Found sound, and tested with it: a second SIGTERM changes nothing; the exit code stays 0; notices go to the address last told.

--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -51,16 +51,16 @@
 	if err != nil {
 		return err
 	}
-	done := make(chan struct{})
-	defer close(done)
+	serving, ended := context.WithCancel(context.Background()) // for longer than ctx: also while it leaves
+	defer ended()
 	go func() {
 		for {
 			select {
 			case <-hup:
-				if err := s.Reload(ctx, os.Getenv); err != nil {
+				if err := s.Reload(serving, os.Getenv); err != nil {
 					log.Error("reload: going on as before", "err", err)
 				}
-			case <-done:
+			case <-serving.Done():
 				return
 			}
 		}
--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -332,6 +333,55 @@
 	}
 }
 
+// While the sender leaves, a further SIGTERM changes nothing, and each SIGHUP is heeded as before: what it still has to tell
+// goes to the platform's new address.
+func TestSignalsWhileLeaving(t *testing.T) {
+	silent := st.NewEndpoint(t, st.Silent)
+	platforms := []*st.Platform{st.NewPlatform(t, silent.Addr), st.NewPlatform(t, silent.Addr)}
+	admin := freeAddr(t)
+	s := launch(t, platforms[0], t.TempDir(), freeAddr(t), nil, "EDGE_ADMIN_ADDR="+admin)
+	until := func(call, want string) {
+		t.Helper()
+		for end := time.Now().Add(st.Wait); ; time.Sleep(5 * time.Millisecond) {
+			var reply []byte
+			if conn, err := net.Dial("tcp", admin); err == nil {
+				io.WriteString(conn, call+"\n")
+				reply, _ = io.ReadAll(conn)
+				conn.Close()
+			}
+			if strings.Contains(string(reply), want) {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s gives %q, not %q", call, reply, want)
+			}
+		}
+	}
+	until("HEALTH", "ok")
+	st.HandIn(t, s.addr, "out", "unsafe", 0, 1500*time.Millisecond)
+	silent.Next(t)
+	for range 2 {
+		if err := s.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		until("HEALTH", "fail leaving")
+	}
+	for n := range 5 {
+		raw, err := json.Marshal(st.Config(platforms[(n+1)%2], ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.reload(t, raw)
+		until("DUMP", "sighup_applied="+strconv.Itoa(n+1)+"\n")
+	}
+	if n := st.Receive(t, platforms[1].Notices); n.Message != "out" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	if err := s.Wait(); err != nil {
+		t.Errorf("it leaves with %v", err)
+	}
+}
+
 func TestUnreadableConfigurationIsAPlainError(t *testing.T) {
 	for settings, named := range map[string]string{
 		`{"step":"soon"}`:                "setting step",
--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -445,3 +445,33 @@
 		t.Errorf("%d messages are held", s.held)
 	}
 }
+
+// Told to end before it is ready, a sender takes nothing up and lets nobody come; what it found is there for the next.
+func TestToldToEndBeforeItIsReady(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Silent)
+	p := st.NewPlatform(t, e.Addr)
+	s := newTest(t, p, func(c *Config) {
+		j := openTest(t, c.State, 1<<20)
+		if _, err := j.take(record{ID: "m", Class: "unsafe", Tenant: "acme", Deadline: newClock().now() + time.Minute}); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := s.Run(ctx, func() (net.Listener, error) { t.Error("it listens"); return nil, net.ErrClosed }); err != nil {
+		t.Error(err)
+	}
+	j := openTest(t, s.folder, 1<<20)
+	if m := j.byID["m"]; m == nil || len(m.Tries) > 0 {
+		t.Errorf("it leaves %+v", m)
+	}
+	j.close()
+	run(t, p, func(c *Config) { c.State = s.folder })
+	if c := e.Next(t); c.ID != "m" {
+		t.Errorf("the endpoint got %s", c.ID)
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -189,6 +189,9 @@
 	if !s.c.Settings.AsksForList {
 		s.ask()
 	}
+	if ctx.Err() != nil { // told to end before it has begun: nothing is taken up
+		return s.leave(stop)
+	}
 	s.resume(work, st, s.predecessorCall)
 	served := make(chan error, 1)
 	open := func() error {
@@ -203,8 +206,10 @@
 		s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
 		return nil
 	}
-	if err := open(); err != nil {
-		return errors.Join(err, s.leave(stop))
+	if ctx.Err() == nil { // else no client needs to come to it, and it ends what it has taken up
+		if err := open(); err != nil {
+			return errors.Join(err, s.leave(stop))
+		}
 	}
 	s.reopen = func() {
 		if err := open(); err != nil {
