Go on with a watch at once also after refusals, as what changes meanwhile counts as told

Whoever had been refused before and had had news since was in a rest of up to 5.7 s between two calls of its watch, for which the drain counts as told.

At fault: discovery.watch, which rested after an answer with news. Now only who was refused rests, as long as before.

Test: a scripted agent that refuses once and then has news at each call; without the change 0.39 s pass between two calls.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -32,8 +32,8 @@
 	fewOfUs   = 4 // senders that need not take turns
 	// The turns of hundreds would outlast the protocol's times, though: what the platform has to tell binds after
 	// 6 s, and 2 s after a watch's wait, whether its answer has come or not; 4 s after it has moved. So no answer is waited
-	// for longer, and of what is left after one that never came each call takes half, that another may follow. Nor does a rest
-	// outlast that time; only once it is over, rests get longer, as then haste would serve nobody.
+	// for longer, and of what is left after one that never came each call takes half, that another may follow. The first rest
+	// is no longer either; only further refusals lead to longer ones, as then haste would serve nobody.
 	bindsBy   = 6 * time.Second
 	movedBy   = 4 * time.Second
 	watchLate = 2 * time.Second
@@ -69,7 +69,7 @@
 	client *http.Client
 	turns  time.Duration // that all senders need one after another
 	first  time.Duration // before the first call; no time at all where a single process has been replaced
-	pace   time.Duration // this one's rest after a call that was work; it belongs to the watch
+	pace   time.Duration // this one's rest after a refusal; it belongs to the watch
 
 	held int64 // version of the list held, -1 for none; it belongs to the watch
 
@@ -139,15 +139,7 @@
 
 // pause waits after the n-th failure in a row, a little less or more each time; false if ctx ended.
 func (d *discovery) pause(ctx context.Context, n int) bool {
-	return rest(ctx, max(d.inTime(d.pace), min(backOff<<min(n-1, 10), backOffTop)))
-}
-
-// inTime cuts a rest so that a further call still has time before what it would tell binds.
-func (d *discovery) inTime(rest time.Duration) time.Duration {
-	if left := d.left(); left > answerTime {
-		return min(rest, left-answerTime)
-	}
-	return rest
+	return rest(ctx, max(d.pace, min(backOff<<min(n-1, 10), backOffTop)))
 }
 
 // rest waits for d, or a good deal less; false if ctx ended.
@@ -244,13 +236,9 @@
 		fresh := t.Version != version
 		version = t.Version
 		news(t)
-		// Each answer with news is work, and during a release there is news every second. Where refusals have shown
-		// that this is too much, what comes in the next moments comes with one call. A watch in which nothing
-		// happens goes on at no cost.
-		if fresh && d.pace > 0 {
-			if !rest(ctx, d.inTime(d.pace)) {
-				return ctx.Err()
-			}
+		// Whoever is answered has had its turn: the rests that refusals have led to get shorter, for the next refusal. Here
+		// there is none, whatever work each answer is: what changes between two calls counts as told.
+		if fresh {
 			if d.pace = d.pace * 3 / 4; d.pace < 2*backOff {
 				d.pace = 0
 			}
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -281,14 +281,28 @@
 	}
 }
 
-// Where refusals make a sender rest, it asks again while there is still time to heed what it would be told.
-func TestRestsAfterRefusalsLeaveTimeForAnAnswer(t *testing.T) {
+// Refusals make a sender rest before it asks again, never within a watch: what changes between two calls counts as told, and a
+// watch goes on only if each call comes within 200 ms of the answer before.
+func TestAWatchGoesOnAtOnceAlsoAfterRefusals(t *testing.T) {
 	t.Parallel()
-	d := newDiscovery("127.0.0.1:1", 300)
-	for range 3 {
-		d.slowDown(refusedError("503"))
+	var answered time.Time
+	var late atomic.Int64
+	version := 7
+	news := func(w http.ResponseWriter, r *http.Request) { // one call at a time
+		if !answered.IsZero() {
+			late.Store(max(late.Load(), int64(time.Since(answered))))
+		}
+		version++
+		fmt.Fprintf(w, `{"version":%d,"full":true,"servers":[]}`, version)
+		w.(http.Flusher).Flush()
+		answered = time.Now()
+	}
+	refused := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	addr, _ := scripted(t, refused, news)
+	told := newsOf(t, newDiscovery(addr, 12), 7)
+	for st.Receive(t, told).Version < 20 {
 	}
-	if rest := d.inTime(d.pace); rest > bindsBy-answerTime || rest < bindsBy/2 {
-		t.Errorf("it rests for %v", rest)
+	if gap := time.Duration(late.Load()); gap > 200*time.Millisecond {
+		t.Errorf("%v between an answer and the next call", gap)
 	}
 }
