Hand back no message for want of room that an earlier process took on

Seen: by reading. makeRoom refuses until under 95 % of the room are held, whatever it finds. A process that starts with more (the room in its settings became less, at a restart or at SIGHUP) handed back all that was over it in its first step: taken on, never tried, with all their time. With the same settings it never starts with more: the step before the restart had seen to that.

Ruled out: the other ways to give up in bulk at a start. expire goes by deadline, attempts and window alone (a fresh process knows no quickest call, so nothing is cut short); no list, no pace and no window lets a message end before its time; a slow or silent route holds messages, and the sender waits 0.3 s at most for a first list. At fault: Brain.makeRoom. One is now refused for each that came in the same batch, and none for those resumed.

Test: thirty resumed messages with room for ten: without the change 21 are handed back at once.

--- a/brain/api.go
+++ b/brain/api.go
@@ -103,6 +103,7 @@
 	Out      *Out          // an attempt that is out, after those; the list must have named its endpoint
 
 	NotBefore time.Duration // it rests until this clock time after a failed attempt
+	Resumed   bool          // it was taken on by an earlier process: for want of room it is not handed back
 }
 
 // Rules are what a message is held to from the time that it was taken on, whatever the settings say later.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -254,7 +254,7 @@
 // Time never goes back; a batch dated before the last is taken as of the last.
 func (b *Brain) Step(now time.Duration, events []Event) []Action {
 	now = max(now, b.now)
-	b.now, b.wake, b.acts = now, never, nil
+	b.now, b.wake, b.acts, b.fresh = now, never, nil, 0
 	if b.started == -never {
 		b.started = now
 	}
@@ -347,9 +347,11 @@
 
 // makeRoom refuses, when the room for messages is nearly full, the newest message of the destination
 // with the longest queue, of a tenant beyond its share first: its client can come back, and others would
-// be turned away unseen.
+// be turned away unseen. One goes for each that has come: what was held before has been promised, also
+// where the room has become less since.
 func (b *Brain) makeRoom() {
-	for b.s.MostHeld > 0 && float64(len(b.held)) > holdFull*float64(b.s.MostHeld) {
+	most := holdFull * float64(b.s.MostHeld)
+	for ; b.fresh > 0 && most > 0 && float64(len(b.held)) > most; b.fresh-- {
 		var victim *message
 		longest := 0.0
 		for _, d := range b.order {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -478,6 +478,29 @@
 	}
 }
 
+// What an earlier process has taken on is not handed back for want of room, however many it is, and whoever comes then does not
+// push more than one of them out.
+func TestResumedMessagesAreNotHandedBackForWantOfRoom(t *testing.T) {
+	set := settings()
+	set.MostHeld = 10
+	r := newRig(t, set)
+	var events []Event
+	for range 30 {
+		m := r.message(2, 9, 0)
+		m.Resumed = true
+		events = append(events, m)
+	}
+	r.step(events...)
+	if len(r.refused) > 0 {
+		t.Errorf("%d are handed back", len(r.refused))
+	}
+	r.step(r.message(2, 9, 0))
+	r.step(Alarm{})
+	if len(r.refused) != 1 {
+		t.Errorf("%d are handed back for one that came", len(r.refused))
+	}
+}
+
 func TestListIsAskedForAndAskedAgain(t *testing.T) {
 	set := settings()
 	set.AsksForList = true
--- a/brain/state.go
+++ b/brain/state.go
@@ -178,6 +178,7 @@
 	keep      []time.Duration  // how long to keep those, by kind of destination
 	started   time.Duration    // first batch
 	came      fading           // messages taken
+	fresh     int              // of them in this batch
 	adopted   map[uint64]*call // calls that another process had out
 }
 
@@ -370,6 +371,9 @@
 		m.dest.waiting = append(m.dest.waiting, m)
 	}
 	b.came.add(b.now, arrivalSpan)
+	if !msg.Resumed {
+		b.fresh++
+	}
 	if m.class.Ordered && m.Key != 0 {
 		if m.turn = b.turns[m.Key]; m.turn == nil {
 			m.turn = &turn{key: m.Key}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -341,7 +341,8 @@
 		first, may := m.firstRun()
 		msg := brain.Message{ID: s.hold(m), Class: place(s.c.Classes, m.Class, -1),
 			Tenant: place(s.c.Tenants, m.Tenant, -1), Destination: brain.DestinationID(m.Dest), Deadline: m.Deadline,
-			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone, Rules: m.Rules.forBrain()}
+			Tried: len(m.Tries), MayRun: may, FirstRun: first.At, RanZone: first.Zone, Rules: m.Rules.forBrain(),
+			Resumed: true}
 		if st != nil {
 			msg.NotBefore = st.Rests[m.ID]
 		}
