Let an endpoint that changes its destination heed the waits of the new one

Seen: by reading, on "an endpoint deleted and listed again": its number, route and connections stay with its id. Listed again for another destination it kept the route of the old one: a wait told by that one held calls to the new one, and one told by the new one was not heeded at it. The list has not been seen to do so.

At fault: Brain.add, which gives an endpoint its route once. The route is now that of the destination it is listed for; calls that are out stay with the route that they were sent by. Found sound: an endpoint that is gone and listed again for the same destination (waits, outages and calls out go on), a change against a whole list (both replace the line).

Test: seen to fail without the change, both ways.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -478,6 +478,23 @@
 	}
 }
 
+// An endpoint that is listed for another destination than before heeds the waits of that one, and of no other.
+func TestAnEndpointThatChangesItsDestination(t *testing.T) {
+	r := newRig(t, settings())
+	e := r.end(r.step(r.message(0, 0, 0))[0], Refused) // destination 0 is told to wait, by endpoint 1
+	e.Wait = 700 * ms
+	r.step(e)
+	r.step(ListNews{Endpoints: []Endpoint{{ID: 1}}})
+	r.step(ListNews{Endpoints: []Endpoint{{ID: 1, Destination: 1, Ready: true}, {ID: 2, Destination: 0, Ready: true}}})
+	if sends := r.step(r.message(0, 0, 0)); len(sends) > 0 {
+		t.Errorf("sent in its destination's wait: %+v", sends)
+	}
+	sends := r.step(r.message(0, 1, 0))
+	if len(sends) != 1 || sends[0].Endpoint != 1 {
+		t.Errorf("sent %+v", sends)
+	}
+}
+
 // What an earlier process has taken on is not handed back for want of room, however many it is, and whoever comes then does not
 // push more than one of them out.
 func TestResumedMessagesAreNotHandedBackForWantOfRoom(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -229,9 +229,11 @@
 	line.Kind, line.Zone = max(0, line.Kind), max(0, line.Zone)
 	d := b.destination(line.Destination)
 	e := b.endpoints[line.ID]
-	if e == nil {
-		e = &endpoint{missed: -never / 2}
-		b.endpoints[line.ID] = e
+	if e == nil || e.Destination != line.Destination { // what was told of its place before is not of this destination
+		if e == nil {
+			e = &endpoint{missed: -never / 2}
+			b.endpoints[line.ID] = e
+		}
 		if line.Kind < len(b.s.Kinds) && b.s.Kinds[line.Kind].Apart {
 			e.route = b.newRoute(uint32(line.ID))
 		} else {
