Take an answer of another protocol, or one that contradicts itself, as unreadable

Seen: by reading, on spoilt answers. Two kinds passed for proof that a call never ran, and its message could be sent again where its class forbids that: a whole "HTTP/2.0 503" (net/http reads any version), and in a shared call's answer an id that stands twice with two states, of which the last one won: "ok", then "later".

At fault: answer, which took every version, and callMany's table of states. Both are answers that cannot be read now: failed attempts that may have run. A first line of "HTTP/1.1 200" stays true. Found sound: two lengths, a cut or endless head, endless interim answers (the bound on an answer's bytes holds for them all), a body shorter or longer than told.

Tests: each seen to fail without the change; endless interim answers and two lengths are tested with them.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -406,6 +406,9 @@
 	}
 	states := make(map[string]string, len(told))
 	for _, t := range told {
+		if state, twice := states[t.ID]; twice && state != t.State {
+			t.State = "" // nobody knows which is true: it may have run
+		}
 		states[t.ID] = t.State
 	}
 	for i, it := range items {
@@ -515,8 +518,13 @@
 func answer(r *bufio.Reader) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodPost})
-		if err != nil || resp.StatusCode >= 200 {
-			return resp, err
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.ProtoMajor != 1:
+			return nil, fmt.Errorf("an answer of %s", resp.Proto)
+		case resp.StatusCode >= 200:
+			return resp, nil
 		}
 	}
 }
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -68,6 +68,21 @@
 				}
 			}
 		}, brain.AttemptEnd{Outcome: brain.Broken}},
+		"another protocol": {func(_ st.Call, c net.Conn) bool {
+			io.WriteString(c, "HTTP/2.0 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, brain.AttemptEnd{Outcome: brain.Broken}},
+		"two lengths": {func(_ st.Call, c net.Conn) bool {
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n")
+			return true
+		}, brain.AttemptEnd{Outcome: brain.Broken}},
+		"interim answers without end": {func(_ st.Call, c net.Conn) bool {
+			for {
+				if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+					return false
+				}
+			}
+		}, brain.AttemptEnd{Outcome: brain.Broken}},
 		"cut before": {func(_ st.Call, c net.Conn) bool {
 			io.WriteString(c, "HTTP/1.1 ")
 			return false
@@ -195,7 +210,9 @@
 			"X-RateLimit-Wait-Ms: 250"), wait(each(brain.Served, brain.Refused, brain.Refused))},
 		"spent": {st.Text(200, `[{"id":"a","state":"ok"},{"id":"b","state":"exhausted"},{"id":"c","state":"ok"}]`),
 			each(brain.Served, brain.NotSent, brain.Served)},
-		"one left out":  {st.Text(200, `[{"id":"a","state":"ok"},{"id":"c","state":"ok"}]`), each(brain.Served, brain.Errored, brain.Served)},
+		"one left out": {st.Text(200, `[{"id":"a","state":"ok"},{"id":"c","state":"ok"}]`), each(brain.Served, brain.Errored, brain.Served)},
+		"told twice": {st.Text(200, `[{"id":"a","state":"ok"},{"id":"a","state":"later"},{"id":"b","state":"later"},{"id":"b","state":"later"},{"id":"c","state":"ok"}]`),
+			each(brain.Errored, brain.Refused, brain.Served)},
 		"unknown state": {st.Text(200, `[{"id":"a","state":"fine"}]`), each(brain.Errored, brain.Errored, brain.Errored)},
 		"no JSON":       {st.Text(200, `<html>`), each(brain.Errored, brain.Errored, brain.Errored)},
 		"cut JSON":      {cut, each(brain.Errored, brain.Errored, brain.Errored)},
