Write a call on no connection that has changed under it: stale bytes, a moved address

Seen: by reading exchange and get for what may cross between taking a connection and writing on it.

- An idle connection was looked at when it was taken, not when the call was written; what came in between (a late second answer) was read as the answer to the new call, and a stale 200 counted as its delivery.
It is looked at again once the call is rendered; if something has come, the call goes out on another.
What remains is the moment between that look and the write.
- A dial begun before the endpoint's address moved was used for the call all the same, at an address that may be anybody's by then.
The connection is closed and the new address dialled, within the same time.

Found sound: our close of idle connections against a call that takes one (one lock), the endpoint's close against our write (noticed, or a reset that may have run), a connect that comes up when its message has ended (the context is looked at after it).

Tests force both by a barrier in rendering and in the dialler; without the change the stale 200 is the answer, and the call arrives at the old address.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -129,13 +129,21 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc, addr: addr}
+		c.r = bufio.NewReaderSize(c, 1024)
+		e.mu.Lock()
+		addr = e.addr
+		e.mu.Unlock()
+		if c.addr == addr {
+			return c, nil
+		}
+		c.Close() // e has moved meanwhile, and whose the old address is now is not known
 	}
-	c := &conn{Conn: nc, addr: addr}
-	c.r = bufio.NewReaderSize(c, 1024)
-	return c, nil
 }
 
 // quiet reports whether an idle connection still stands: nothing has come on it, not even its end. A call
@@ -453,6 +461,12 @@
 		p.put(e, c)
 		return nil, nil, unbegun(ctx, begin)
 	}
+	for c.idle > 0 && !quiet(c.Conn) { // what has come since it was taken would be read as the answer to this call
+		c.Close()
+		if c, err = p.get(begin, e); err != nil {
+			return nil, nil, unbegun(ctx, begin)
+		}
+	}
 	by, _ := begin.Deadline()
 	if !out.by.IsZero() {
 		by = out.by
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -458,6 +459,61 @@
 	}
 }
 
+// What comes on an idle connection after it was taken for a call, and before that is written, is no answer to it.
+func TestAStaleAnswerIsNotThatToTheNextCall(t *testing.T) {
+	t.Parallel()
+	conns := make(chan net.Conn, 2)
+	e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		conns <- nc
+		if c.ID == "second" {
+			return st.Status(503)(c, nc)
+		}
+		return st.Status(200)(c, nc)
+	})
+	p, at := testPool(), &endpoint{addr: e.Addr}
+	if got := callOnce(p, at, st.Wait, ""); got.Outcome != brain.Served {
+		t.Fatalf("first call: %+v", got)
+	}
+	e.Next(t)
+	ctx, cancel := context.WithTimeout(context.Background(), st.Wait)
+	defer cancel()
+	taken := at.idle[0]
+	resp, _, outcome := p.exchange(ctx, ctx, at, func(addr string) (rendered, error) {
+		io.WriteString(st.Receive(t, conns), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		for quiet(taken.Conn) { // until it has come here
+			time.Sleep(time.Millisecond)
+		}
+		text, err := request(addr, "/hook", "", record{ID: "second"}, nil, time.Second)
+		return rendered{text: text, messages: 1}, err
+	})
+	if resp == nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("it is answered %+v, %v", resp, outcome)
+	}
+	if c := e.Next(t); c.ID != "second" || c.Conn != 2 {
+		t.Errorf("the endpoint got %+v", c)
+	}
+}
+
+// An endpoint that moves while a call waits for its connection gets the call at the new address: whose the old one is now
+// is not known.
+func TestAnAddressThatMovesWhileACallWaits(t *testing.T) {
+	t.Parallel()
+	old, now := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+	p, at := testPool(), &endpoint{addr: old.Addr}
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		at.mu.Lock()
+		defer at.mu.Unlock()
+		at.addr = now.Addr
+		return nil
+	}
+	if got := callOnce(p, at, st.Wait, ""); got.Outcome != brain.Served {
+		t.Errorf("%+v", got)
+	}
+	if len(old.Calls) > 0 || len(now.Calls) != 1 {
+		t.Errorf("%d calls at the old address, %d at the new one", len(old.Calls), len(now.Calls))
+	}
+}
+
 // What an abandoned call has written must not arrive later: its connection is reset, not ended in order.
 func TestAnAbandonedCallResetsItsConnection(t *testing.T) {
 	t.Parallel()
