Take a message whose only attempt's record is damaged as one that may have run

A damaged record of a first attempt was counted and passed over: its message looked as if it had never been sent, and one that may not be repeated went out a second time after a restart. Only where a later attempt's record stood whole was the gap noticed. What stood before a lost end of line was dropped without a word, too.

A line that cannot be read, or the part of one before a record that can, now leaves a doubt on the message that it still names, unless it is the record of something else. Where the name itself is damaged nothing can be done.

Tests: each byte of such a record in turn, five ways; without the change the first fails.

--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"time"
 
@@ -238,9 +239,12 @@
 		if err != nil {
 			return err
 		}
-		rec, ok := salvage(line)
-		if !ok {
+		rec, lost, ok := salvage(line)
+		if len(lost) > 0 {
 			j.damaged++
+			j.doubt(lost)
+		}
+		if !ok {
 			continue
 		}
 		switch m := j.byID[rec.ID]; {
@@ -266,21 +270,42 @@
 }
 
 // salvage reads a line, or the record at the end of a damaged one: where the end of a line is lost, the record
-// after it still stands whole, behind its own checksum.
-func salvage(line []byte) (rec record, ok bool) {
+// after it still stands whole, behind its own checksum. What cannot be read is given back.
+func salvage(line []byte) (rec record, lost []byte, ok bool) {
 	for from := 0; ; {
 		rec = record{}
 		if decode(line[from:], &rec) {
-			return rec, true
+			return rec, line[:from], true
 		}
 		next := bytes.Index(line[min(len(line), from+10):], []byte(" {"))
 		if next < 0 {
-			return rec, false
+			return rec, line, false
 		}
 		from += 10 + next - 8
 	}
 }
 
+// doubt books an attempt for the message that a damaged record names, if that may be the record of one: it may have run,
+// nobody knows when.
+func (j *journal) doubt(line []byte) {
+	for _, op := range []string{"take", "end", "over", "told", "past"} {
+		if bytes.Contains(line, []byte(`"op":"`+op+`"`)) {
+			return
+		}
+	}
+	for _, named := range damagedID.FindAllSubmatch(line, -1) {
+		var id string
+		if json.Unmarshal(named[1], &id) != nil {
+			continue
+		}
+		if m := j.byID[id]; m != nil {
+			m.Tries = append(m.Tries, try{})
+		}
+	}
+}
+
+var damagedID = regexp.MustCompile(`"id":("(?:[^"\\]|\\.)*")`)
+
 func decode(line []byte, rec *record) bool {
 	if len(line) < 10 {
 		return false
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -153,6 +153,77 @@
 	}
 }
 
+// A message whose only attempt's record is damaged may have run, as long as the record still names it: it is not taken for one
+// that was never sent.
+func TestADamagedRecordOfAnAttemptLeavesADoubt(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	m := takeTest(t, j, "a")
+	from := int(j.size)
+	j.note(m, record{Op: "send", Sent: &try{At: 1, Endpoint: "s"}})
+	if err := j.flush(); err != nil {
+		t.Fatal(err)
+	}
+	to := int(j.size)
+	takeTest(t, j, "b")
+	raw, err := os.ReadFile(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := from + bytes.Index(raw[from:], []byte(`"id":"a"`))
+	for n := from; n < to; n++ {
+		if n >= named && n < named+len(`"id":"a"`) {
+			continue
+		}
+		for _, wrong := range []byte{0, '\n', '{', ' ', raw[n] ^ 1} {
+			if wrong == raw[n] || wrong == '\n' && n < named { // cut before its name it names nobody
+				continue
+			}
+			damaged := bytes.Clone(raw)
+			damaged[n] = wrong
+			if err := os.WriteFile(j.path, damaged, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			again := openTest(t, dir, 1<<20)
+			got := again.byID["a"]
+			if got == nil || again.byID["b"] == nil || len(again.byID["b"].Tries) > 0 {
+				t.Fatalf("byte %d made %q: holds %v", n-from, wrong, again.byID)
+			}
+			if _, may := got.firstRun(); !may {
+				t.Fatalf("byte %d made %q: it is taken for one that was never sent", n-from, wrong)
+			}
+		}
+	}
+}
+
+// A kill in the middle of a compaction leaves the old file whole, and beside it a part of the new one, which nobody reads.
+func TestAKillInACompaction(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	j := openTest(t, dir, 1<<20)
+	takeTest(t, j, "a")
+	raw, err := os.ReadFile(j.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range raw {
+		if err := os.WriteFile(j.path+".new", raw[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again := openTest(t, dir, 1<<20)
+		if len(again.byID) != 1 || again.byID["a"] == nil {
+			t.Fatalf("%d bytes of a new file: holds %v", n, again.byID)
+		}
+		if err := again.close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := os.Stat(j.path + ".new"); err == nil {
+			t.Fatal("the part is left on the disk")
+		}
+	}
+}
+
 // Old and new file together stay within the budget, however long it goes on; without room for a message
 // it is refused, and one that ends makes room again.
 func TestJournalStaysWithinItsBudget(t *testing.T) {
