--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -4,17 +4,21 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/gob"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"dockshift.example/dockshift/brain"
 	st "dockshift.example/dockshift/internal/sendertest"
 )
 
@@ -446,6 +450,112 @@
 	}
 }
 
+// A call that still waits for its connection when the grace is over, or when a successor takes everything, is not written any
+// more: nobody would hear how it ends, or whether it may. It never ran, and the next process hears so.
+func TestACallThatWaitsForItsConnectionIsLeftToTheNextProcess(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(t *testing.T, l *leaver) *gob.Decoder{
+		"after the grace": func(t *testing.T, l *leaver) *gob.Decoder { l.stop(); return nil },
+		"hand-over":       func(t *testing.T, l *leaver) *gob.Decoder { _, dec, _ := takeOver(t, l.folder); return dec },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, st.Status(200))
+			p := st.NewPlatform(t, e.Addr)
+			l := &leaver{Sender: newTest(t, p, nil), done: make(chan error, 1)}
+			l.grace, l.leaveAfter = 0, 5*time.Second
+			dialing, up := make(chan struct{}, 1), make(chan struct{})
+			l.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+				dialing <- struct{}{}
+				<-up
+				return nil
+			}
+			withheld := make(chan struct{}, 1)
+			l.log = slog.New(onLine(func(line string) {
+				if strings.Contains(line, "no call is begun") || strings.Contains(line, "handing over") {
+					withheld <- struct{}{}
+				}
+			}))
+			addr, listen := platformSocket(t)
+			var ctx context.Context
+			ctx, l.stop = context.WithCancel(context.Background())
+			go func() { l.done <- l.Run(ctx, listen) }()
+			st.HandIn(t, addr, "m", "unsafe", 0, 15*time.Second)
+			st.Receive(t, dialing)
+			successor := end(t, l)
+			st.Receive(t, withheld)
+			close(up)
+			var told packet
+			if successor != nil {
+				if err := successor.Decode(&told); err != nil || told.Ended == nil || told.Ended.End.Outcome != brain.NotSent {
+					t.Errorf("the successor is told %+v, %v", told, err)
+				}
+			}
+			l.stop()
+			if err := st.Receive(t, l.done); err != nil {
+				t.Error(err)
+			}
+			if len(e.Calls) > 0 {
+				t.Error("the call has been written")
+			}
+			if successor != nil {
+				return
+			}
+			run(t, p, func(c *Config) { c.State = l.folder })
+			if c := e.Next(t); c.ID != "m" {
+				t.Errorf("the endpoint got %s", c.ID)
+			}
+		})
+	}
+}
+
+// onLine is a log whose lines a test hears.
+func onLine(heard func(line string)) slog.Handler {
+	return slog.NewTextHandler(writer(heard), nil)
+}
+
+type writer func(line string)
+
+func (w writer) Write(b []byte) (int, error) { w(string(b)); return len(b), nil }
+
+// What a restart finds untried goes out at once, whatever its class and however many there are, also while discovery says
+// nothing and with all room taken: none of it is given up or handed back first.
+func TestWhatARestartFindsUntriedIsTriedAtOnce(t *testing.T) {
+	t.Parallel()
+	const many = 95
+	e := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	classes := []string{"safe", "keyed", "unsafe"}
+	began := time.Now()
+	s := newTest(t, p, func(c *Config) {
+		j := openTest(t, c.State, 1<<20)
+		for i := range many {
+			if _, err := j.take(record{ID: strconv.Itoa(i), Key: "k" + strconv.Itoa(i), Class: classes[i%3], Tenant: "acme",
+				Deadline: newClock().now() + 15*time.Second}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := j.close(); err != nil {
+			t.Fatal(err)
+		}
+		c.Settings.MostHeld, c.Discovery = 50, "127.0.0.1:1" // less room than before
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }) }()
+	seen := map[string]bool{}
+	for range many {
+		seen[e.Next(t).ID] = true
+	}
+	if took := time.Since(began); len(seen) != many || took > 5*time.Second {
+		t.Errorf("%d messages were tried, in %v", len(seen), took)
+	}
+	cancel()
+	if err := st.Receive(t, done); err != nil {
+		t.Error(err)
+	}
+}
+
 // Told to end before it is ready, a sender takes nothing up and lets nobody come; what it found is there for the next.
 func TestToldToEndBeforeItIsReady(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -255,6 +255,7 @@
 			grace = nil
 			s.quitting = true
 			s.withhold(func(*outCall) bool { return true })
+			s.log.Info("no call is begun any more", "held", s.held, "calls", s.out)
 			s.server.leave()
 		case <-s.server.calm:
 		case <-leave:
