Share the descriptors out so that clients, operators, calls and resting connections fit together

Seen: by adding up (the open list admitted it). Of 256 descriptors clients had 128, resting connections 64, operators 21, which with what is always open left some 25 for calls; settings with more slots, all used while clients are many, met the limit: connects failed, and the module took that for full endpoints. At 384 and more it was alike from some hundred slots on.

At fault: newPool's bound on resting connections, which knew nothing of slots, and slots taken as the settings have them. Bounds are now derived in one place: calls have what clients, operators and 20 spare ones leave, slots beyond that are cut to it (at the start and at a reload), and resting connections are what the slots leave, a quarter of all at the most as before.

Test: for 128 to 1,024 descriptors and 3 to 5,000 slots all bounds add up to no more than there are.

--- a/internal/sender/admin.go
+++ b/internal/sender/admin.go
@@ -39,7 +39,7 @@
 }
 
 func newAdmin(log *slog.Logger, descriptors int, health func() error, dump func(io.Writer)) *admin {
-	return &admin{most: max(4, min(adminMost, descriptors/adminPart)), health: health, dump: dump, log: log, callers: map[net.Conn]time.Time{}}
+	return &admin{most: callersMost(descriptors), health: health, dump: dump, log: log, callers: map[net.Conn]time.Time{}}
 }
 
 // run listens until ctx ends. An address that is taken is tried again: no message should suffer for a figure.
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -48,6 +48,25 @@
 	shape any // the file as it was read
 }
 
+// The descriptors are shared out so that all uses fit at their most, whatever else goes on: clients get half (they use a third,
+// and strangers come beside them), operators a part, what follows stays free, and calls have the rest. Connections that
+// rest beside those of the calls have what the slots leave.
+const spareDescriptors = 20 // standard streams, the poller, listeners, lock, journal, discovery, a successor
+
+func clientsMost(sockets int) int { return max(2, sockets/2) }
+
+func callersMost(sockets int) int { return max(4, min(adminMost, sockets/adminPart)) }
+
+// callsMost is how many connections to endpoints there may be at once, with a call or without.
+func callsMost(sockets int) int {
+	return max(1, sockets-clientsMost(sockets)-callersMost(sockets)-spareDescriptors)
+}
+
+// idleMost is how many of them are kept without a call.
+func (c *Config) idleMost() int {
+	return max(0, min(c.Limits.Sockets/4, callsMost(c.Limits.Sockets)-c.Settings.Slots))
+}
+
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
@@ -119,6 +138,7 @@
 	if c.Settings.MaxAttempts > 0 && n.Settings.MaxAttempts <= 0 {
 		return nil, errors.New("configuration: settings.limits.maxAttempts is not a positive number")
 	}
+	n.Settings.Slots = min(n.Settings.Slots, callsMost(c.Limits.Sockets))
 	next := *c
 	next.Discovery, next.Settings, next.Classes, next.Tenants = n.Discovery, n.Settings, n.Classes, n.Tenants
 	next.Kinds, next.Zones, next.shape = n.Kinds, n.Zones, n.shape
@@ -255,6 +275,7 @@
 	if c.Limits.DiskMB <= 0 {
 		c.Limits.DiskMB = 3
 	}
+	c.Settings.Slots = min(c.Settings.Slots, callsMost(c.Limits.Sockets))
 	if c.ConnectTimeout <= 0 {
 		c.ConnectTimeout = 1500 * time.Millisecond
 	}
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -96,7 +96,7 @@
 type pool struct {
 	connectTimeout time.Duration
 	keep           time.Duration // how long an idle one is kept
-	most           int64         // idle ones kept in all: the descriptors are few
+	most           atomic.Int64  // idle ones kept in all: the descriptors are few
 	idle           atomic.Int64
 	leaving        atomic.Bool // none is kept any more
 	fields         []string
@@ -107,8 +107,9 @@
 func newPool(c *Config) *pool {
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
-	return &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10,
-		most: int64(max(2, c.Limits.Sockets/4)), fields: c.Fields, forwarded: func(int) {}}
+	p := &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10, fields: c.Fields, forwarded: func(int) {}}
+	p.most.Store(int64(c.idleMost()))
+	return p
 }
 
 // get takes the idle connection used last, or opens one.
@@ -170,7 +171,7 @@
 func (p *pool) put(e *endpoint, c *conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if c.addr != e.addr || p.leaving.Load() || p.idle.Load() >= p.most {
+	if c.addr != e.addr || p.leaving.Load() || p.idle.Load() >= p.most.Load() {
 		c.Close()
 		return
 	}
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -452,7 +452,7 @@
 	if n := on(); n != 3 {
 		t.Errorf("connection %d after the idle one was too old", n)
 	}
-	p.most = 0
+	p.most.Store(0)
 	p.closeIdle(at, 0)
 	if on(); len(at.idle) != 0 || p.idle.Load() != 0 {
 		t.Errorf("%d idle connections where none may be kept, counted %d", len(at.idle), p.idle.Load())
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -689,6 +689,7 @@
 // retune goes on by a new configuration. Messages held keep the rules that they were taken under.
 func (s *Sender) retune(c *Config) []brain.Event {
 	s.c = c
+	s.pool.most.Store(int64(c.idleMost()))
 	s.figures.name(c.Classes)
 	s.figures.reloaded(true)
 	s.log.Info("reloaded", "discovery", c.Discovery, "classes", strings.Join(c.Classes, ","), "attempts", c.Settings.MaxAttempts)
--- a/internal/sender/scale_test.go
+++ b/internal/sender/scale_test.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"testing"
@@ -112,3 +115,52 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// Clients, operators, calls and resting connections fit into the configured descriptors together, each at its most, whatever
+// number of calls at once the settings allow, at the start and after a reload.
+func TestDescriptorsAreEnoughForAllUsesTogether(t *testing.T) {
+	t.Parallel()
+	for _, sockets := range []int{128, 256, 384, 1024} {
+		for _, slots := range []float64{3, 60, 5000} {
+			text := st.Config(st.NewPlatform(t), t.TempDir())
+			text["limits"] = map[string]any{"sockets": sockets}
+			info := text["settings"].(map[string]any)["familyInfo"].(map[string]any)
+			file := filepath.Join(t.TempDir(), "config.json")
+			write := func(slots float64) {
+				info["callsOut"] = slots
+				raw, err := json.Marshal(text)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := os.WriteFile(file, raw, 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			getenv := func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] }
+			fits := func(c *Config) {
+				t.Helper()
+				clients, callers := newServer(c, newClock(), slog.New(slog.DiscardHandler), nil).most, newAdmin(nil, sockets, nil, nil).most
+				idle := int(newPool(c).most.Load())
+				if sum := clients + callers + idle + c.Settings.Slots + spareDescriptors; sum > sockets || c.Settings.Slots < 3 || clients < sockets/3 {
+					t.Errorf("of %d: %d clients, %d operators, %d calls, %d idle", sockets, clients, callers, c.Settings.Slots, idle)
+				}
+			}
+			write(3)
+			first, err := LoadConfig(getenv)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fits(first)
+			write(slots)
+			next, err := first.reload(getenv)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fits(next)
+			if next, err = LoadConfig(getenv); err != nil {
+				t.Fatal(err)
+			}
+			fits(next)
+		}
+	}
+}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -75,7 +75,7 @@
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{clock: k, submit: submit, most: max(2, c.Limits.Sockets/2), quiet: map[*guest]time.Time{}, half: map[*guest]time.Time{}, known: map[*guest]bool{}, calm: make(chan struct{}, 1)}
+	s := &server{clock: k, submit: submit, most: clientsMost(c.Limits.Sockets), quiet: map[*guest]time.Time{}, half: map[*guest]time.Time{}, known: map[*guest]bool{}, calm: make(chan struct{}, 1)}
 	s.conf.Store(c)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
