Start on no configuration that leaves open whether a class may be sent again

Seen: by trying. A class without "effect" was taken as safe to repeat, a keyed one without its window or scope as one with none; settings without classes started a sender that answers 400 to everything. At a reload the file before is the measure and a missing key is found; at the start there was none.

At fault: ParseConfig, where an absent word reads as its first value. A class needs name, effect, giveUp and slo, a keyed one dedupWindow and dedupScope, and there has to be a class; else the start ends with one line that names the key.

--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -390,6 +390,17 @@
 		`{"balancers":80,"slotNo":80}`:   "slotNo: 80",
 		`{"balancers":80,"slotNo":-1}`:   "slotNo: -1",
 		`{"balancers":80,"slotNo":"n1"}`: "setting slotNo",
+		`{}`:                             "services is missing",
+		`{"services":[]}`:                "services is missing",
+		`{"services":[{"name":"a","effect":"read_like","slo":1,"giveUp":2},{"name":"a","effect":"read_like","slo":1,"giveUp":2}]}`: "stands twice",
+		`{"services":[{"effect":"read_like","slo":1,"giveUp":2}]}`:                                                                 "services.0.name",
+		`{"services":[{"name":"a","slo":1,"giveUp":2}]}`:                                                                           "services.0.effect is missing",
+		`{"services":[{"name":"a","effect":"often","slo":1,"giveUp":2}]}`:                                                          "services.0.effect",
+		`{"services":[{"name":"a","effect":"non_idempotent","slo":1}]}`:                                                            "services.0.giveUp is missing",
+		`{"services":[{"name":"a","effect":"non_idempotent","giveUp":2}]}`:                                                         "services.0.slo is missing",
+		`{"services":[{"name":"a","effect":"non_idempotent","slo":1,"giveUp":-2}]}`:                                                "must be positive",
+		`{"services":[{"name":"a","effect":"idempotency_key","dedupScope":"all","slo":1,"giveUp":2}]}`:                             "services.0.dedupWindow is missing",
+		`{"services":[{"name":"a","effect":"idempotency_key","dedupWindow":5,"slo":1,"giveUp":2}]}`:                                "services.0.dedupScope is missing",
 	} {
 		text := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":` + settings + `}`
 		file := filepath.Join(t.TempDir(), "config.json")
--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -246,6 +246,16 @@
 		if name == "" || slices.Contains(c.Classes, name) {
 			return nil, fmt.Errorf("services.%d.name %q is empty or stands twice", i, name)
 		}
+		// Of what decides whether a message may be sent again nothing is taken for granted.
+		needs := []string{"effect", "giveUp", "slo"}
+		if c.Settings.Classes[i].Effect == brain.Keyed {
+			needs = append(needs, "dedupWindow", "dedupScope")
+		}
+		for _, key := range needs {
+			if key = fmt.Sprintf("services.%d.%s", i, key); env.Text(key) == "" {
+				return nil, fmt.Errorf("%s is missing", key)
+			}
+		}
 		if class := c.Settings.Classes[i]; class.Deadline <= 0 || class.Aim <= 0 {
 			return nil, fmt.Errorf("services.%d: giveUp and slo must be positive", i)
 		}
@@ -263,6 +273,9 @@
 	if err := env.Err(); err != nil {
 		return nil, err
 	}
+	if len(c.Classes) == 0 {
+		return nil, errors.New("settings.services is missing or empty")
+	}
 	if file.Seed != "" {
 		if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("seed: %w", err)
