Read the names of classes, tenants, kinds and zones as the settings have them

Names were read from the flattened lines, where blanks and commas are replaced by an underscore; clients and discovery use them as they stand. A class with a blank in its name was answered 400 to every message, and a zone or kind with one counted as the first of its list.

At fault: ParseConfig. Names now come from the JSON itself.

Test: a class and a tenant with blanks, a comma and an ampersand; answered 400 without the change.

--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -234,15 +234,23 @@
 	if err != nil {
 		return nil, err
 	}
+	// Names as they stand: clients and discovery use them so, while in lines of path and value blanks and commas are replaced.
+	var named struct {
+		Services, Orgs []struct{ Name string }
+		Models, Zones  []string
+	}
+	if err := json.Unmarshal(file.Settings, &named); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, State: file.State,
 		Limits: file.Limits, Known: file.Known, Settings: settings.Translate(env),
-		Kinds: env.List("models"), Zones: env.List("zones"), Fields: env.List("telemetry.fields"),
+		Kinds: named.Models, Zones: named.Zones, Fields: env.List("telemetry.fields"),
 		shape: shape, ConnectTimeout: settings.Span(env.Float("limits.connectTimeout"))}
 	for i := range env.Count("services") {
 		if err := env.Err(); err != nil {
 			return nil, err
 		}
-		name := env.Text(fmt.Sprintf("services.%d.name", i))
+		name := named.Services[i].Name
 		if name == "" || slices.Contains(c.Classes, name) {
 			return nil, fmt.Errorf("services.%d.name %q is empty or stands twice", i, name)
 		}
@@ -268,7 +276,7 @@
 		return nil, err
 	}
 	for i := range env.Count("orgs") {
-		c.Tenants = append(c.Tenants, env.Text(fmt.Sprintf("orgs.%d.name", i)))
+		c.Tenants = append(c.Tenants, named.Orgs[i].Name)
 	}
 	if err := env.Err(); err != nil {
 		return nil, err
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// Names are the settings' business: they may hold blanks and commas.
+func TestNamesWithBlanks(t *testing.T) {
+	t.Parallel()
+	e := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, e.Addr)
+	text := st.Config(p, t.TempDir())
+	settings := text["settings"].(map[string]any)
+	settings["services"].([]any)[1].(map[string]any)["name"] = "order, new"
+	settings["orgs"].([]any)[0].(map[string]any)["name"] = "acme & sons"
+	raw, err := json.Marshal(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := run(t, p, func(c *Config) {
+		parsed, err := ParseConfig(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		*c = *parsed
+	})
+	r := st.Message(t, addr, "m", "order, new", 0, 5*time.Second, "x")
+	r.Header.Set("X-Tenant", "acme & sons")
+	if resp, text := st.Do(t, r); resp.StatusCode != http.StatusAccepted {
+		t.Fatalf("%s %s", resp.Status, text)
+	}
+	if c := e.Next(t); c.ID != "m" {
+		t.Errorf("the endpoint got %s", c.ID)
+	}
+}
+
 // Input that is not sound gets a plain line, goes no further, and leaves the sender serving.
 func TestBadInput(t *testing.T) {
 	t.Parallel()
