--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -19,14 +19,14 @@
 
 // An upgrade: a second process starts while the first serves. At any moment one of them, the holder of the lock
 // on the state folder, owns the journal and lets its module decide. A newcomer that finds the lock held asks the
-// holder over a Unix socket. That stops accepting, closes the journal, frees the lock and sends its estate. Its
+// holder over a Unix socket. That stops accepting, closes the journal, frees the lock and sends its snapshot. Its
 // calls in flight stay where they are; to the newcomer's module they are calls like any other, whose ends the old
 // process reports. Requests that still come on the old one's connections are passed on and answered there.
 
 const (
 	handVersion = 1                      // of the packets; a holder that does not know it keeps what it has
 	askEvery    = 50 * time.Millisecond  // a newcomer looks so often for the lock or its holder
-	handTime    = 2 * time.Second        // for a packet to be written, and for the estate to come
+	handTime    = 2 * time.Second        // for a packet to be written, and for the snapshot to come
 	linkRoom    = 4096                   // packets on their way to the other process
 	deathTime   = 30 * time.Millisecond  // from the end of a link until the dead one's other sockets are closed, too
 	cutTime     = 250 * time.Millisecond // at the end, for the calls that are cut off to be reported
@@ -35,7 +35,7 @@
 // packet is what the processes tell one another; each sets one field.
 type packet struct {
 	Hello  *hello       // newcomer: hand over
-	Estate *estate      // holder: here it is
+	Estate *snapshot    // holder: here it is (the name is that of the first version, which may be on the other side)
 	Submit *relayed     // old one: a request that came on one of my connections
 	Answer *relayAnswer // newcomer: its answer
 	Ended  *flightEnd   // old one: how an attempt ended
@@ -46,8 +46,8 @@
 
 type hello struct{ Version int }
 
-// estate is what a process hands over beside the journal.
-type estate struct {
+// snapshot is what a process hands over beside the journal.
+type snapshot struct {
 	ListVersion int64
 	Endpoints   []Target // by the module's number, those that are gone as DELETED
 	Flights     []flight
@@ -96,7 +96,7 @@
 }
 
 type (
-	// helloEvent: a newcomer asks for the estate.
+	// helloEvent: a newcomer asks for the snapshot.
 	helloEvent struct{ *link }
 	// linkEvent: the other process says something; with lost it is dead, or its connection is.
 	linkEvent struct {
@@ -207,8 +207,8 @@
 	return use(fmt.Sprintf("/proc/self/fd/%d/saffronyard-%016x.sock", dir.Fd(), h.Sum64()))
 }
 
-// askHolder asks the lock's holder for its estate.
-func askHolder(ctx context.Context, state string) (*link, *gob.Decoder, *estate, error) {
+// askHolder asks the lock's holder for its snapshot.
+func askHolder(ctx context.Context, state string) (*link, *gob.Decoder, *snapshot, error) {
 	var c net.Conn
 	err := socketAt(state, func(path string) (err error) {
 		c, err = (&net.Dialer{Timeout: handTime}).DialContext(ctx, "unix", path)
@@ -224,16 +224,16 @@
 	c.SetReadDeadline(time.Now().Add(handTime))
 	if err := dec.Decode(&p); err != nil || p.Estate == nil {
 		l.close()
-		return nil, nil, nil, fmt.Errorf("the holder's estate: %w", errors.Join(err, errors.New("nothing came")))
+		return nil, nil, nil, fmt.Errorf("the holder's snapshot: %w", errors.Join(err, errors.New("nothing came")))
 	}
 	c.SetReadDeadline(time.Time{})
 	return l, dec, p.Estate, nil
 }
 
 // own waits until this process holds the lock, and opens the journal: at once if nobody holds it, else from its
-// holder or, if that dies, after it. The estate is nil unless the holder gave one.
-func (s *Sender) own(ctx context.Context) (*estate, error) {
-	var st *estate
+// holder or, if that dies, after it. The snapshot is nil unless the holder gave one.
+func (s *Sender) own(ctx context.Context) (*snapshot, error) {
+	var st *snapshot
 	var from *link
 	for told := false; ; {
 		lock, err := lockFolder(s.folder)
@@ -321,7 +321,7 @@
 
 // handOver gives all up to a newcomer, between two steps.
 func (s *Sender) handOver(to *link) {
-	s.heir, s.handed = to, true
+	s.successor, s.handed = to, true
 	s.server.closing.Store(true)
 	s.server.shut()
 	s.pool.leaving.Store(true)
@@ -329,7 +329,7 @@
 		s.pool.closeIdle(e, 0)
 	}
 	s.withhold(func(*outCall) bool { return true }) // of what is begun from now on only the newcomer knows whether it may
-	st := &estate{ListVersion: s.listVersion, Flights: s.flights(), Rests: map[string]time.Duration{}, Memory: s.brain.Remember()}
+	st := &snapshot{ListVersion: s.listVersion, Flights: s.flights(), Rests: map[string]time.Duration{}, Memory: s.brain.Remember()}
 	for _, e := range s.list.byNumber {
 		st.Endpoints = append(st.Endpoints, e.target)
 	}
@@ -383,16 +383,16 @@
 		s.regain(ctx, e.lock)
 	case linkEvent:
 		switch {
-		case e.link != s.heir && e.lost:
+		case e.link != s.successor && e.lost:
 			s.predecessorGone(e.link)
-		case e.link != s.heir && e.Submit != nil:
+		case e.link != s.successor && e.Submit != nil:
 			s.passOn(s.relayedSubmission(ctx, e.link, e.Submit))
-		case e.link != s.heir && e.Ended != nil:
+		case e.link != s.successor && e.Ended != nil:
 			if m := s.byID[e.Ended.Flight.ID]; m != nil {
 				s.relayEnd(itemEnd{m, e.Ended.Flight.Try - m.base, e.Ended.End})
 			}
 		case e.lost:
-			s.heir = nil
+			s.successor = nil
 			s.log.Warn("the successor is gone")
 			if !s.quitting {
 				go s.relock(ctx)
@@ -415,15 +415,15 @@
 // passOn hands a request to the successor. Without one it waits: if this process takes the lock again, it is ours. Where it
 // does not any more, nobody can have taken the request on.
 func (s *Sender) passOn(sub submission) {
-	if s.heir == nil && s.quitting {
+	if s.successor == nil && s.quitting {
 		s.figures.declined(sub.Class)
 		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, "shutting down"}
 		return
 	}
 	s.seq++
 	s.passed[s.seq] = sub
-	if s.heir != nil {
-		s.heir.send(packet{Submit: &relayed{s.seq, sub.record}})
+	if s.successor != nil {
+		s.successor.send(packet{Submit: &relayed{s.seq, sub.record}})
 	}
 }
 
@@ -472,8 +472,8 @@
 		return
 	}
 	c.end = &e.AttemptEnd
-	if s.heir != nil {
-		s.heir.send(packet{Ended: &flightEnd{flightID{e.message.ID, e.message.base + e.attempt}, e.AttemptEnd}})
+	if s.successor != nil {
+		s.successor.send(packet{Ended: &flightEnd{flightID{e.message.ID, e.message.base + e.attempt}, e.AttemptEnd}})
 	}
 }
 
@@ -513,7 +513,7 @@
 // regain takes everything up again after the successor's death. What that had out may have run; our own calls
 // are still out.
 func (s *Sender) regain(ctx context.Context, lock *os.File) {
-	st := &estate{Flights: s.flights(), Rests: s.rests, Memory: s.memory}
+	st := &snapshot{Flights: s.flights(), Rests: s.rests, Memory: s.memory}
 	s.lock = lock
 	if err := s.openJournal(); err != nil {
 		s.log.Error("the journal cannot be had again", "err", err)
--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -199,9 +199,9 @@
 	st.HandIn(t, addr, "out", "unsafe", 0, 15*time.Second)
 	slow.Next(t)
 	for n := range 2 {
-		l, _, estate := takeOver(t, state)
-		if len(estate.Flights) != 1 || estate.Flights[0].ID != (flightID{"out", 0}) {
-			t.Errorf("calls handed over: %+v", estate.Flights)
+		l, _, snapshot := takeOver(t, state)
+		if len(snapshot.Flights) != 1 || snapshot.Flights[0].ID != (flightID{"out", 0}) {
+			t.Errorf("calls handed over: %+v", snapshot.Flights)
 		}
 		waitHealth(t, admin, "fail leaving\n")
 		l.close()
@@ -217,8 +217,8 @@
 	wantFigures(t, admin, map[string]int{"outstanding": 0, "succeeded.unsafe": 3, "aborted.unsafe": 0, "forwards": 3})
 }
 
-// takeOver plays a successor by hand: it has the estate of the holder and does nothing with it.
-func takeOver(t *testing.T, state string) (*link, *gob.Decoder, *estate) {
+// takeOver plays a successor by hand: it has the snapshot of the holder and does nothing with it.
+func takeOver(t *testing.T, state string) (*link, *gob.Decoder, *snapshot) {
 	t.Helper()
 	for until := time.Now().Add(st.Wait); ; time.Sleep(time.Millisecond) { // the holder's socket may come up after its ok
 		l, dec, e, err := askHolder(context.Background(), state)
@@ -261,9 +261,9 @@
 						e.Next(t)
 					}
 				}
-				l, dec, estate := takeOver(t, state)
-				if len(estate.Flights) != 1 {
-					t.Fatalf("calls handed over: %+v", estate.Flights)
+				l, dec, snapshot := takeOver(t, state)
+				if len(snapshot.Flights) != 1 {
+					t.Fatalf("calls handed over: %+v", snapshot.Flights)
 				}
 				close(open)
 				var told packet
@@ -337,9 +337,9 @@
 		c.Write(text.Bytes()[:text.Len()-1])
 		halves = append(halves, c)
 	}
-	heir, _, _ := takeOver(t, l.folder)
+	successor, _, _ := takeOver(t, l.folder)
 	l.stop()
-	heir.close()
+	successor.close()
 	refused := false
 	for _, c := range halves { // until both have been noticed
 		io.WriteString(c, "y")
--- a/internal/sender/door.go
+++ b/internal/sender/listener.go
@@ -11,11 +11,11 @@
 	"time"
 )
 
-// door is the clients' listener. It lets in so many at once; further ones wait in its queue. What waits there when a
+// limitListener is the clients' listener. It lets in so many at once; further ones wait in its queue. What waits there when a
 // listener is closed is reset, answer or none, so before its end it takes in all that have come.
 //
 // netutil.LimitListener does the counting as well, but its connections hide what tells whether bytes wait unread.
-type door struct {
+type limitListener struct {
 	net.Listener
 	places chan struct{}
 	shut   chan struct{}
@@ -25,8 +25,8 @@
 	cut    atomic.Bool   // connections are closed at once
 }
 
-func newDoor(l net.Listener, most int) *door {
-	d := &door{Listener: l, places: make(chan struct{}, most), shut: make(chan struct{}), empty: make(chan struct{})}
+func newLimitListener(l net.Listener, most int) *limitListener {
+	d := &limitListener{Listener: l, places: make(chan struct{}, most), shut: make(chan struct{}), empty: make(chan struct{})}
 	d.close = sync.OnceValue(func() error {
 		close(d.shut)
 		return l.Close()
@@ -40,10 +40,10 @@
 	return d
 }
 
-func (d *door) Close() error { return d.close() }
+func (d *limitListener) Close() error { return d.close() }
 
 // Accept lets the next client in. Its one time-out is that of the emptied queue.
-func (d *door) Accept() (net.Conn, error) {
+func (d *limitListener) Accept() (net.Conn, error) {
 	select {
 	case d.places <- struct{}{}:
 	case <-d.shut:
@@ -51,7 +51,7 @@
 	}
 	c, err := d.Listener.Accept()
 	if err == nil {
-		return &guest{Conn: c, cut: &d.cut, left: sync.OnceFunc(func() { <-d.places })}, nil
+		return &clientConn{Conn: c, cut: &d.cut, left: sync.OnceFunc(func() { <-d.places })}, nil
 	}
 	<-d.places
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -62,15 +62,15 @@
 	return nil, err
 }
 
-// guest is a client's connection.
-type guest struct {
+// clientConn is a client's connection.
+type clientConn struct {
 	net.Conn
 	left     func()
 	gone     atomic.Bool  // nothing more is read
 	begun    atomic.Bool  // something of a request has been read since the last answer
 	owed     atomic.Bool  // a request has been read to its end
 	answered atomic.Bool  // something has been written
-	cut      *atomic.Bool // the door's: nobody is waited for any more
+	cut      *atomic.Bool // the listener's: nobody is waited for any more
 }
 
 const (
@@ -81,13 +81,13 @@
 
 // dismiss ends the reading. Unlike a close it costs nobody an answer: a request that has been read already, by whoever
 // was just reading, is still served, and the connection is closed then.
-func (g *guest) dismiss() {
+func (g *clientConn) dismiss() {
 	g.gone.Store(true)
 	g.SetReadDeadline(time.Unix(1, 0))
 }
 
 // Read heeds a dismissal also where the server has set a new deadline since.
-func (g *guest) Read(b []byte) (int, error) {
+func (g *clientConn) Read(b []byte) (int, error) {
 	if g.gone.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
@@ -98,7 +98,7 @@
 	return n, err
 }
 
-func (g *guest) Write(b []byte) (int, error) {
+func (g *clientConn) Write(b []byte) (int, error) {
 	g.answered.Store(true)
 	g.begun.Store(false) // before the client can go on: what is read from now on is its next request
 	return g.Conn.Write(b)
@@ -106,7 +106,7 @@
 
 // Close makes no reset of what lies unread, as that may destroy an answer on its way: the client is told the end, and what it
 // still says is dropped for a moment.
-func (g *guest) Close() error {
+func (g *clientConn) Close() error {
 	defer g.left()
 	if g.answered.Load() && !g.cut.Load() && !quiet(g.Conn) && g.CloseWrite() == nil {
 		g.Conn.SetReadDeadline(time.Now().Add(lingerTime))
@@ -116,7 +116,7 @@
 }
 
 // CloseWrite lets the server end its side first and wait a moment, where it answers before it has read everything.
-func (g *guest) CloseWrite() error {
+func (g *clientConn) CloseWrite() error {
 	if c, ok := g.Conn.(interface{ CloseWrite() error }); ok {
 		return c.CloseWrite()
 	}
@@ -124,7 +124,7 @@
 }
 
 // SyscallConn is for telling whether bytes wait unread.
-func (g *guest) SyscallConn() (syscall.RawConn, error) {
+func (g *clientConn) SyscallConn() (syscall.RawConn, error) {
 	if c, ok := g.Conn.(syscall.Conn); ok {
 		return c.SyscallConn()
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -98,7 +98,7 @@
 	predecessor *link        // the process that this one took over from, while it runs
 	inbox       *gob.Decoder // of that
 	handed      bool         // a successor decides
-	heir        *link        // it, while it runs
+	successor   *link        // it, while it runs
 	memory      brain.Memory // what was handed to it
 	rests       map[string]time.Duration
 	passed      map[uint64]submission // requests that it has not answered yet
@@ -165,7 +165,7 @@
 	if s.c.Admin != "" {
 		go newAdmin(s.log, s.c.Limits.Sockets, s.health, s.figures.dump).run(work, s.c.Admin)
 	}
-	var st *estate
+	var st *snapshot
 	if s.journal == nil {
 		var err error
 		if st, err = s.own(ctx); err != nil {
@@ -294,8 +294,8 @@
 	stop()
 	s.server.close()
 	s.log.Info("stopped", "held", s.held, "calls", s.out, "notices", len(s.owed), "shared", s.shared)
-	if s.heir != nil {
-		s.heir.drain()
+	if s.successor != nil {
+		s.successor.drain()
 	}
 	var err error
 	if s.journal != nil {
@@ -310,9 +310,9 @@
 
 // resume hands the Brain what an earlier process left, before any client is heard. The list in the
 // configuration may be older than what that process had been told, and an endpoint on it may have drained
-// since: nothing is sent until discovery has answered once, or has had its time. An estate's list is as new as
+// since: nothing is sent until discovery has answered once, or has had its time. A snapshot's list is as new as
 // can be. Its calls are still out; call gives each one's place in this process.
-func (s *Sender) resume(ctx context.Context, st *estate, call func(flight) *outCall) {
+func (s *Sender) resume(ctx context.Context, st *snapshot, call func(flight) *outCall) {
 	flying := map[string]flight{}
 	var events []brain.Event
 	if st != nil {
@@ -397,10 +397,10 @@
 		return
 	}
 	var events []brain.Event
-	var heir *link
-	for e, n := first, 0; e != nil && n < batchMost && heir == nil; n++ {
+	var successor *link
+	for e, n := first, 0; e != nil && n < batchMost && successor == nil; n++ {
 		if hello, ok := e.(helloEvent); ok {
-			heir = hello.link
+			successor = hello.link
 			break
 		}
 		events = append(events, s.take(ctx, e)...)
@@ -417,8 +417,8 @@
 	} else {
 		s.step(ctx, events)
 	}
-	if heir != nil {
-		s.handOver(heir)
+	if successor != nil {
+		s.handOver(successor)
 	}
 }
 
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -240,7 +240,7 @@
 }
 
 // visitor is a connection as the server is told of it.
-func visitor(t *testing.T) *guest {
+func visitor(t *testing.T) *clientConn {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -256,11 +256,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close(); peer.Close() })
-	return &guest{Conn: c, left: func() {}, cut: new(atomic.Bool)}
+	return &clientConn{Conn: c, left: func() {}, cut: new(atomic.Bool)}
 }
 
 // letGo reports whether a connection is closed or will be, as nothing more is read from it.
-func (g *guest) letGo() bool {
+func (g *clientConn) letGo() bool {
 	g.SetDeadline(time.Now().Add(-time.Second))
 	_, err := g.Write([]byte{0})
 	return g.gone.Load() || !errors.Is(err, os.ErrDeadlineExceeded)
@@ -271,7 +271,7 @@
 func TestHeldConnectionsMakeRoom(t *testing.T) {
 	t.Parallel()
 	s := newServer(&Config{Limits: Limits{Sockets: 6}}, newClock(), slog.New(slog.DiscardHandler), nil)
-	conns := map[string]*guest{}
+	conns := map[string]*clientConn{}
 	open := func(name string) {
 		conns[name] = visitor(t)
 		s.track(conns[name], http.StateNew)
@@ -303,7 +303,7 @@
 func TestHalfSpokenPeersMakeRoom(t *testing.T) {
 	t.Parallel()
 	s := newServer(&Config{Limits: Limits{Sockets: 8}}, newClock(), slog.New(slog.DiscardHandler), nil)
-	conns := map[string]*guest{}
+	conns := map[string]*clientConn{}
 	for _, name := range []string{"client", "whole", "half"} {
 		conns[name] = visitor(t)
 		s.track(conns[name], http.StateNew)
@@ -336,7 +336,7 @@
 	t.Parallel()
 	s := newServer(&Config{Limits: Limits{Sockets: 4}}, newClock(), slog.New(slog.DiscardHandler), nil)
 	half, other := visitor(t), visitor(t)
-	for _, g := range []*guest{half, other} {
+	for _, g := range []*clientConn{half, other} {
 		s.track(g, http.StateNew)
 		s.track(g, http.StateActive)
 	}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -63,19 +63,19 @@
 	http    *http.Server
 	most    int // connections of clients at once
 
-	mu      sync.Mutex
-	door    *door
-	open    int
-	quiet   map[*guest]time.Time // without a request, since when
-	half    map[*guest]time.Time // in the middle of a request, since when
-	known   map[*guest]bool      // have had an answer: a further request may not be cut off
-	full    bool                 // and it will be looked at again soon
-	leaving bool
-	calm    chan struct{} // while it leaves: no request is open
+	mu       sync.Mutex
+	listener *limitListener
+	open     int
+	quiet    map[*clientConn]time.Time // without a request, since when
+	half     map[*clientConn]time.Time // in the middle of a request, since when
+	known    map[*clientConn]bool      // have had an answer: a further request may not be cut off
+	full     bool                      // and it will be looked at again soon
+	leaving  bool
+	calm     chan struct{} // while it leaves: no request is open
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{clock: k, submit: submit, most: clientsMost(c.Limits.Sockets), quiet: map[*guest]time.Time{}, half: map[*guest]time.Time{}, known: map[*guest]bool{}, calm: make(chan struct{}, 1)}
+	s := &server{clock: k, submit: submit, most: clientsMost(c.Limits.Sockets), quiet: map[*clientConn]time.Time{}, half: map[*clientConn]time.Time{}, known: map[*clientConn]bool{}, calm: make(chan struct{}, 1)}
 	s.conf.Store(c)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
@@ -92,16 +92,16 @@
 
 // listenOn takes a listener for what follows. Clients hold a part of the descriptors at most; further ones wait to be
 // accepted, while none of those connected can be let go.
-func (s *server) listenOn(l net.Listener) *door {
-	d := newDoor(l, s.most)
+func (s *server) listenOn(l net.Listener) *limitListener {
+	d := newLimitListener(l, s.most)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.door = d
+	s.listener = d
 	return d
 }
 
 // serve answers on the listener until it is closed.
-func (s *server) serve(d *door) error {
+func (s *server) serve(d *limitListener) error {
 	err := s.http.Serve(d)
 	select {
 	case <-d.shut: // by us
@@ -114,7 +114,7 @@
 // shut lets nobody in any more. Whoever waits in the queue of a listener that is not the platform's is reset.
 func (s *server) shut() {
 	s.mu.Lock()
-	d := s.door
+	d := s.listener
 	s.mu.Unlock()
 	if d != nil {
 		d.Close()
@@ -148,7 +148,7 @@
 // close ends all connections at once.
 func (s *server) close() {
 	s.mu.Lock()
-	d := s.door
+	d := s.listener
 	s.mu.Unlock()
 	if d != nil {
 		d.cut.Store(true)
@@ -177,7 +177,7 @@
 // are answered as such. It takes no longer than queueTime and answersEnd.
 func (s *server) end() {
 	s.mu.Lock()
-	d := s.door
+	d := s.listener
 	s.mu.Unlock()
 	if d == nil {
 		return
@@ -216,7 +216,7 @@
 
 // whole marks the connection of a request that has been read to its end: from here on it is owed an answer.
 func (s *server) whole(r *http.Request) {
-	if g, ok := r.Context().Value(connKey{}).(*guest); ok {
+	if g, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		g.owed.Store(true)
 		s.mu.Lock()
 		delete(s.half, g)
@@ -228,7 +228,7 @@
 // longest makes room, or if there is none the one that has been in the middle of its first one for longest: peers that only
 // hold their connection must not keep those out that have something to say. While it leaves, nobody is kept.
 func (s *server) track(c net.Conn, state http.ConnState) {
-	g := c.(*guest)
+	g := c.(*clientConn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -269,8 +269,8 @@
 
 // evictQuiet lets go of who has said nothing for longest. Where something has come, that is a request, read or not.
 func (s *server) evictQuiet() bool {
-	for asked := map[*guest]bool{}; ; {
-		var oldest *guest
+	for asked := map[*clientConn]bool{}; ; {
+		var oldest *clientConn
 		for g, since := range s.quiet {
 			if !asked[g] && (oldest == nil || since.Before(s.quiet[oldest])) {
 				oldest = g
@@ -291,7 +291,7 @@
 // evictHalf lets go of who has been in the middle of a first request for longest, if that is a while. It is told so, and has
 // a moment to hear it, as the place is needed. Should the rest have been read just now, that is answered as any other request.
 func (s *server) evictHalf() bool {
-	var oldest *guest
+	var oldest *clientConn
 	for g, since := range s.half {
 		if !s.known[g] && time.Since(since) >= evictAgain && (oldest == nil || since.Before(s.half[oldest])) {
 			oldest = g
