Wait half a second at most for the rest of an answer that has said 200

Seen: by reading, on spoilt answers that never end.

Ruled out: other outcomes (that a call never ran counts only with its whole answer) and shared calls (the whole answer counts). At fault: conn.Read and pool.rest, whose only bound in time was the call's. After a first line of 200 the rest has 0.5 s, and never more than the call; the connection is dropped if it has not come.

A shared call is waited for as before, and a further answer on the same connection has all its time.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -52,6 +52,8 @@
 	first []byte        // of the answer that is being read
 	told  time.Time     // when its first bytes said whether the message is served
 	stop  func() bool   // lets go of the context of the call; false if that has cut it off
+	alone bool          // the call has one message: its first line says how it ended
+	until time.Time     // the end of its time, the zero time for none
 }
 
 // drop ends a connection whose call is abandoned. What it has written and the other side, cut off, has not received is
@@ -67,6 +69,10 @@
 // maxAnswer bounds an answer, head and body: an endpoint may send nonsense without an end.
 const maxAnswer = maxBody + 64<<10
 
+// restTime is how long the rest of an answer may take whose first line has told all that there is to know. What comes with it
+// is of use only to the connection, and meanwhile the message's end is not booked, and its slot not free.
+const restTime = 500 * time.Millisecond
+
 var errTooLong = errors.New("the answer has no end")
 
 // served is how an answer begins from which on the message is delivered, whatever becomes of the rest.
@@ -82,6 +88,9 @@
 	c.first = append(c.first, b[:min(n, len(served)+1-len(c.first))]...)
 	if before < len(served) && len(c.first) >= len(served) {
 		c.told = time.Now()
+		if by := c.told.Add(restTime); c.alone && c.saysServed() && (c.until.IsZero() || by.Before(c.until)) {
+			c.SetReadDeadline(by)
+		}
 	}
 	return n, err
 }
@@ -306,7 +315,7 @@
 		told := waits(until)
 		until = time.Now().Add(told)
 		out, err := request(addr, "/hook", "", m, m.Body, told)
-		return rendered{text: out, messages: 1}, err
+		return rendered{text: out, messages: 1, alone: true}, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -376,7 +385,7 @@
 		told := waits(until)
 		until = time.Now().Add(told)
 		out, err := request(addr, "/hook/batch", "application/json", record{}, body, told)
-		return rendered{out, len(parts), by, items[0].way}, err
+		return rendered{text: out, messages: len(parts), by: by, way: items[0].way}, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -444,6 +453,7 @@
 	messages int
 	by       time.Time // its last byte is written by then or never; the zero time for no bound
 	way      *carriage // nil if nobody else may end it
+	alone    bool      // it is a call for one message
 }
 
 var errNobody = errors.New("no message is left for this call")
@@ -473,6 +483,9 @@
 		by = out.by
 	}
 	c.SetWriteDeadline(by)
+	c.SetReadDeadline(time.Time{}) // of the answer before
+	c.alone = out.alone
+	c.until, _ = ctx.Deadline()
 	c.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	out.way.set(c, false)
 	defer out.way.set(nil, false) // before a further call can have the connection
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -459,6 +459,56 @@
 	}
 }
 
+// A call whose answer begins with 200 has ended, and its slot is free, soon after: whether the rest of that answer ever comes is of
+// no interest. A shared call's answer counts as a whole and is waited for.
+func TestTheRestOfADeliveryIsNotWaitedForLong(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"in the line":  "HTTP/1.1 200",
+		"in the head":  "HTTP/1.1 200 OK\r\nContent-Le",
+		"in the body":  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal",
+		"drop by drop": "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, func(_ st.Call, c net.Conn) bool {
+				for io.WriteString(c, text); name == "drop by drop"; time.Sleep(10 * time.Millisecond) {
+					if _, err := c.Write([]byte("x")); err != nil {
+						return false
+					}
+				}
+				return st.Silent(st.Call{}, c)
+			})
+			began := time.Now()
+			got := callOnce(testPool(), &endpoint{addr: e.Addr}, st.Wait, "")
+			if took := time.Since(began); got.Outcome != brain.Served || !got.Over || took > st.Wait/4 {
+				t.Errorf("%+v after %v", got, took)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), restTime+300*time.Millisecond)
+			defer cancel()
+			items := []item{{record: record{ID: "a"}, place: new(atomic.Int32)}}
+			if ends := testPool().callMany(ctx, ctx, &endpoint{addr: e.Addr}, items, time.Second); ends[0].Outcome == brain.Served || ctx.Err() == nil {
+				t.Errorf("of a shared call: %+v, %v", ends, ctx.Err())
+			}
+		})
+	}
+	slow := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool { // the next answer on the connection has all its time
+		if c.ID == "id" && c.Body == "slow" {
+			time.Sleep(restTime + 100*time.Millisecond)
+		}
+		return st.Status(200)(c, nc)
+	})
+	p, at := testPool(), &endpoint{addr: slow.Addr}
+	for _, body := range []string{"quick", "slow"} {
+		if got := callOnce(p, at, st.Wait, body); got.Outcome != brain.Served {
+			t.Errorf("%s: %+v", body, got)
+		}
+		if c := slow.Next(t); c.Conn != 1 {
+			t.Errorf("%s: on connection %d", body, c.Conn)
+		}
+	}
+}
+
 // What comes on an idle connection after it was taken for a call, and before that is written, is no answer to it.
 func TestAStaleAnswerIsNotThatToTheNextCall(t *testing.T) {
 	t.Parallel()
