--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -790,6 +790,48 @@
 	}
 }
 
+// Whether a message's key is still remembered is judged when its repeat is written, not when that was decided: one whose
+// connection comes up after the window is not written at all.
+func TestARepeatWhoseConnectionComesUpAfterItsWindowIsNotWritten(t *testing.T) {
+	t.Parallel()
+	const window = 500 * time.Millisecond
+	e := st.NewEndpoint(t, st.Status(500, "Connection: close"))
+	p := st.NewPlatform(t, e.Addr)
+	s := newTest(t, p, func(c *Config) {
+		c.Settings.Classes[1].KeyWindow = window
+		c.Settings.MaxAttempts = 2 // the repeat is the last, and has all the time that is left
+	})
+	var dials atomic.Int32
+	again, up := make(chan struct{}), make(chan struct{})
+	s.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+		if dials.Add(1) == 2 {
+			close(again)
+			<-up
+		}
+		return nil
+	}
+	addr, listen := platformSocket(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, listen) }()
+	st.HandIn(t, addr, "m", "keyed", 0, 15*time.Second)
+	e.Next(t)
+	first := time.Now()
+	st.Receive(t, again)
+	<-time.After(time.Until(first.Add(window)))
+	close(up)
+	if n := st.Receive(t, p.Notices); n.Message != "m" || n.Outcome != "given_up" {
+		t.Errorf("notice %+v", n)
+	}
+	cancel()
+	if err := st.Receive(t, done); err != nil {
+		t.Error(err)
+	}
+	if len(e.Calls) > 0 {
+		t.Error("its repeat has been written")
+	}
+}
+
 // A call that still waits for its connection when its endpoint drains or goes is not written any more, though it was
 // decided before: it could arrive when the drain binds.
 func TestACallThatWaitsForItsConnectionIsWithheld(t *testing.T) {
