Keep the even part of a limit after a refusal among served calls

Of 1,795 messages of charge-post that ended, 647 were given up without a call, their whole 12 s spent in the queue, while most slots were idle:

23.963 STATE held=95 calls=0/4 ... {d1 w=26 calls=0/1 lim=18.8 pace=2.51 tok=0.89} {d3 w=15 calls=0/2 lim=10.7 pace=0.89 tok=0.11} {d2 w=17 lim=8.6 pace=0.86 tok=0.69}

Refusals come where more calls than limit/2 plus a little fall into half a second (under 2 % below, over 50 % well above), so it is calls that meet, not their sum.

Ruled out: slots (1 to 3 of 4 in use), room (90 of 1,795 turned away), the door (none), restarts (of all 990 given up, of both classes, 718 had not been through one).

Cause: Brain.refused cut the pace on each refusal to half of the even part with six senders, and judgeServed gave back a tenth of that part a call: at one refusal in four calls it stays there, and a third of the limit is nobody's. A refusal after a served call now leaves nine tenths of the even part, and a served call leads back to that; all together stay under the limit. Refusals in a row go down to half as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,6 +43,7 @@
 	retryPause  = 150 * time.Millisecond // pause of one message after a failed attempt; doubles
 	paceStep    = 0.1                    // growth of the pace, in our even parts of the limit, by call served
 	paceCut     = 0.7                    // the pace after a refusal
+	evenKept    = 0.9                    // of our even part: the pace left by a refusal among served calls
 	plenty      = 0.3                    // share of the allowance left from which the pace may grow
 	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
 	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
@@ -889,7 +890,7 @@
 		if r.shares > 1 { // more messages need no more calls
 			most = b.even(r.limit)
 		}
-		r.pace = min(most, r.pace+step)
+		r.pace = min(most, max(r.pace, evenKept*b.part(r.limit))+step)
 	}
 }
 
@@ -908,7 +909,13 @@
 		// The more of us there are the less does one call tell each: all may be far above the limit, and
 		// where refused calls use it up they keep one another out. So each goes down until it drains.
 		n := float64(max(fewSenders, b.s.Senders))
-		r.pace = max(r.pace*paceCut*fewSenders/n, b.part(r.limit)/2)
+		// One refusal among served calls is chance: a limit that counts over a short time is met by calls
+		// that come together, also while all of them are fewer than it allows.
+		least := 0.5
+		if r.bad == 1 && r.served > 0 {
+			least = evenKept
+		}
+		r.pace = max(r.pace*paceCut*fewSenders/n, b.part(r.limit)*least)
 		if n > fewSenders {
 			r.tokens, r.filled = b.spread(), b.now // others were refused in the same moment
 		}
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -577,3 +577,49 @@
 		t.Errorf("%v follows", next)
 	}
 }
+
+// Six senders asked for all that a destination takes, and half of its limit went unused: it counts over a fifth of a
+// second, so one call in four was refused for meeting another sender's, and each such refusal sent the pace down to
+// half of the even part, where it stayed. Refused calls use the limit up here.
+func TestRefusalsByChanceLeaveTheEvenPart(t *testing.T) {
+	const senders, limit, depth, seconds = 6, 10, 2.0, 30
+	s := settings()
+	s.Senders, s.RatedLimits, s.OverloadFor, s.MostHeld = senders, true, 3*time.Second, 0
+	rigs := make([]*rig, senders)
+	for i := range rigs {
+		rigs[i] = newRig(t, s)
+		rigs[i].b = New(s, uint64(i+1))
+		rigs[i].step(ListNews{Whole: true, Endpoints: []Endpoint{{ID: 1, Rating: limit, Ready: true}}})
+	}
+	start, left, served, refused := rigs[0].now, depth, 0, 0
+	open := make([][]Send, senders)
+	for tick := range seconds * 100 {
+		left = min(depth, left+limit/100.0)
+		for i, r := range rigs {
+			r.now = start + time.Duration(tick)*10*ms
+			events := []Event{Alarm{}}
+			if tick%(100*senders/limit) == 0 {
+				events = append(events, r.message(0, 0, 0))
+			}
+			var out []Send
+			for _, x := range open[i] {
+				if r.now < r.sentAt[x.Message]+60*ms {
+					out = append(out, x)
+					continue
+				}
+				e := r.end(x, Refused)
+				if left >= 1 {
+					e, served = r.end(x, Served), served+1
+				} else if refused++; refused%2 == 0 {
+					e.Wait = 500 * ms
+				}
+				left = max(0, left-1)
+				events = append(events, e)
+			}
+			open[i] = append(out, r.step(events...)...)
+		}
+	}
+	if rate := float64(served) / seconds; rate < 0.65*limit {
+		t.Errorf("%.1f calls a second served under a limit of %v", rate, limit)
+	}
+}
