Let a call go beside overdue ones, to an endpoint of the destination that has none

Followed: sender n1 at destination 0, which has two endpoints and an even part of 2.7 calls a second:

21.532 {d0 w=20 calls=1/1 win=1.0 tau=4000 best=4000 <e3 age=2864 n=1>} 26.811 {d0 w=26 calls=1/1 win=1.0 tau=4000 best=4000 <e3 age=8143 n=1>}

One keyed message, whose repeat in time its window of 1 s forbids, waits its time left at an endpoint that hung for 2.5 s, and for over 8 s nothing else goes to the destination from there, while the other endpoint is well.

Ruled out: silence as an outage (needs three silent calls, the window allows one), taking back (only where all slots are in use; one to four of four were), the pace (tokens stood at 0.4, and grow only in open, which ended before).

At fault: Brain.open, `r.calls >= b.cap(r)` counts calls that are overdue by their own haste like any other.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -155,9 +155,12 @@
 
 // ---- Window and health of a route: a destination, or one endpoint where routes are apart
 
+// most is how many calls one destination may have out at the most (design).
+func (b *Brain) most() float64 { return math.Ceil(capShare*float64(b.s.Slots)) - 1 }
+
 // cap is how many calls r may have out. A failing, slow or silent one keeps half.
 func (b *Brain) cap(r *route) int {
-	most := math.Ceil(capShare*float64(b.s.Slots)) - 1
+	most := b.most()
 	if r.fails > failing || r.recent > slowBy*r.mean && r.mean > 0 || b.silent(r, 1) {
 		most = math.Floor(most / 2)
 	}
@@ -173,6 +176,19 @@
 	return r.lastServed <= c.sent && b.now-c.sent > r.patience()
 }
 
+// stuck: all calls that r has out are overdue. One that may not be repeated holds its place to its deadline,
+// and at an endpoint that hangs a few of them would keep all others out of the destination. One call may go
+// beside them, to an endpoint that has none.
+func (b *Brain) stuck(r *route) bool {
+	for _, c := range r.unanswered {
+		if over := c.sent + b.haste(c); b.now < over {
+			b.wakeAt(over)
+			return false
+		}
+	}
+	return r.calls < int(b.most())
+}
+
 // halve cuts the window, once for all calls that were out at the last cut.
 func (b *Brain) halve(r *route, sent time.Duration) {
 	if sent >= r.halvedAt {
@@ -201,6 +217,9 @@
 	return rate, burst
 }
 
+// full: r has as many calls out as its window and its state allow; in an outage probes are counted instead.
+func (b *Brain) full(r *route) bool { return r.state != out && r.calls >= b.cap(r) }
+
 // open reports whether r may get a call now; if not but later, the alarm is set for then.
 func (b *Brain) open(r *route) bool {
 	if r.state == cold && b.now-r.since > b.s.Cold {
@@ -223,7 +242,7 @@
 		b.wakeAt(r.probedAt + r.patience())
 		return false
 	}
-	if r.state != out && r.calls >= b.cap(r) {
+	if b.full(r) && !b.stuck(r) {
 		return false
 	}
 	b.fill(r)
@@ -440,11 +459,14 @@
 		var usable, following []*endpoint
 		closed := d.shared != nil && !b.open(d.shared)
 		for _, e := range d.endpoints {
-			full := b.batch(e) > 1 && e.sentAt == b.now && e.calls > 0 // further sends would join that call
-			if !full && b.follows(e) {
+			joins := b.batch(e) > 1 && e.sentAt == b.now && e.calls > 0 // further sends would join that call
+			if !joins && b.follows(e) {
 				following = append(following, e)
 			}
-			if !full && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
+			if b.full(e.route) && e.calls > 0 {
+				continue
+			}
+			if !joins && (e.route == d.shared && !closed || e.route != d.shared && b.open(e.route)) {
 				usable = append(usable, e)
 			}
 		}
@@ -877,7 +899,7 @@
 	// A window that is not in use says nothing about what the destination bears: it grows in use only,
 	// and fades out of it, so that a destination that falls silent takes few slots before it is noticed.
 	if used := float64(r.calls + 1); 2*used >= r.window {
-		r.window = min(r.window+1, max(1, math.Ceil(capShare*float64(b.s.Slots))-1))
+		r.window = min(r.window+1, max(1, b.most()))
 	} else {
 		r.window = max(2, r.window-windowFade)
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -978,3 +978,28 @@
 		t.Errorf("past its window: %d sends, failed %v", len(sends), r.failed[m.ID])
 	}
 }
+
+// A call that may not be repeated went to an endpoint that hung, and with a window of one nothing else went to its
+// destination for all of the call's time left, though another endpoint there was well.
+func TestACallThatHangsKeepsNobodyOutOfOtherEndpoints(t *testing.T) {
+	for _, endpoints := range []int{1, 2} {
+		r := newRig(t, settings())
+		if endpoints == 2 {
+			r.step(ListNews{Endpoints: []Endpoint{{ID: 9, Ready: true}}})
+		}
+		hung := r.step(r.message(2, 0, 0))[0]
+		start := r.now
+		var next []Send
+		for next = r.step(r.message(1, 0, 0)); len(next) == 0 && r.now < start+10*time.Second; r.now += 20 * ms {
+			next = r.step(Alarm{})
+		}
+		switch {
+		case endpoints == 1 && len(next) > 0:
+			t.Errorf("%v goes beside a call that hangs at the only endpoint", next)
+		case endpoints == 2 && (len(next) != 1 || next[0].Endpoint == hung.Endpoint):
+			t.Errorf("%v goes out within 10 s of a call that hangs at endpoint %d", next, hung.Endpoint)
+		case endpoints == 2 && len(r.step(r.message(0, 0, 0), Alarm{})) > 0:
+			t.Error("a further call goes out while the one beside is not overdue")
+		}
+	}
+}
