End every rest after a refusal by discovery in time for what binds 6 s later

At fault: discovery.slowDown, which bounded only the first rest. All end after 5 s now, 4 s where the module asks for the list and pauses a second before that.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -32,12 +32,14 @@
 	fewOfUs   = 4 // senders that need not take turns
 	// The turns of hundreds would outlast the protocol's times, though: what the platform has to tell binds after
 	// 6 s, and 2 s after a watch's wait, whether its answer has come or not; 4 s after it has moved. So no answer is waited
-	// for longer, and of what is left after one that never came each call takes half, that another may follow. The first rest
-	// is no longer either; only further refusals lead to longer ones, as then haste would serve nobody.
+	// for longer, and of what is left after one that never came each call takes half, that another may follow. No rest is
+	// longer either, however many refusals there were: what changes right after one binds within those 6 s, of which the
+	// answer needs a second, and where the module asks for the list its own pause before that another.
 	bindsBy   = 6 * time.Second
 	movedBy   = 4 * time.Second
 	watchLate = 2 * time.Second
-	restMost  = 4 * bindsBy
+	restMost  = bindsBy - answerTime
+	turnsMost = 4 * bindsBy
 	// What the agent holds already binds a sender from its start on, with the 500 ms that a drain leaves: whoever asks
 	// later than this sends by an old list. The first calls are spread no further.
 	firstMost  = 200 * time.Millisecond
@@ -70,6 +72,7 @@
 	turns  time.Duration // that all senders need one after another
 	first  time.Duration // before the first call; no time at all where a single process has been replaced
 	pace   time.Duration // this one's rest after a refusal; it belongs to the watch
+	asks   bool          // the module asks for each call after a failure
 
 	held int64 // version of the list held, -1 for none; it belongs to the watch
 
@@ -123,7 +126,7 @@
 
 func newDiscovery(addr string, senders int) *discovery {
 	others, first := time.Duration(max(0, senders-fewOfUs)), time.Duration(0)
-	turns := min(others*perSender, restMost)
+	turns := min(others*perSender, turnsMost)
 	if turns > 0 { // after a release all come at once
 		first = rand.N(min(others*perFirst, firstMost))
 	}
@@ -221,7 +224,11 @@
 func (d *discovery) slowDown(err error) {
 	var refused refusedError
 	if d.turns > 0 && errors.As(err, &refused) {
-		d.pace = min(max(2*d.pace, min(d.turns/4, bindsBy)), d.turns)
+		most := restMost
+		if d.asks {
+			most -= answerTime
+		}
+		d.pace = min(max(2*d.pace, d.turns/4), d.turns, most)
 	}
 }
 
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -90,18 +90,18 @@
 	}
 }
 
-// Hundreds of senders have as little time as few: no answer is waited for past the time by which it binds, and the
-// first rest after a refusal is no longer than that either.
+// Hundreds of senders have as little time as few: no answer is waited for past the time by which it binds, and no
+// rest after refusals, however many, takes the time away in which the next answer has to come: what changed after a
+// refusal binds by then. Rests went up to 24 s.
 func TestTimesThatGrowWithTheSendersHaveACeiling(t *testing.T) {
 	d := newDiscovery("127.0.0.1:1", 300)
-	if d.slowDown(refusedError("503")); d.pace > bindsBy {
-		t.Errorf("a rest of %v after the first refusal", d.pace)
-	}
-	for range 10 {
-		d.slowDown(refusedError("503"))
-	}
-	if d.pace > restMost {
-		t.Errorf("a rest of %v", d.pace)
+	for name, needs := range map[string]time.Duration{"pushed": answerTime, "asked for": 2 * answerTime} {
+		d.pace, d.asks = 0, needs > answerTime
+		for n := range 10 {
+			if d.slowDown(refusedError("503")); d.pace+needs > bindsBy {
+				t.Errorf("a list that is %s: a rest of %v after %d refusals", name, d.pace, n+1)
+			}
+		}
 	}
 	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	t.Cleanup(s.Close)
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -121,6 +121,7 @@
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	s.pool.forwarded = s.figures.forwarded
+	s.disc.asks = c.Settings.AsksForList
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	lock, err := lockFolder(c.State)
 	if err != nil {
