Let the worst-served class count as the settings weigh it when slots and pace are scarce

Both wait at the same destinations for the same pace.

Ruled out: the order of arrival, aims and deadlines (12 s both, 2 and 3 s), batches (they take both), a lower share of slots.

The module never read those. Brain.classFactor now adds that part for the class that has been served least lately, shared where they are alike; without such weights, or with one class, nothing changes.

--- a/brain/api.go
+++ b/brain/api.go
@@ -29,6 +29,8 @@
 	StartCapacity    float64       // share of its capacity that it has at the least on return
 	OverloadFor      time.Duration // length of the span over which that load is counted
 	Cold             time.Duration // after this a returned destination is warm
+	WholeWeight      float64       // weight of the share of all worth that is served, in the result
+	ClassWeight      float64       // weight of that share of the worst-served class
 	OverShareWorth   float64       // worth of a message beyond its tenant's share, as a fraction
 	CrossZonePrice   float64       // price of an attempt that leaves its zone
 	Halving          bool          // late worth halves with each further aim; otherwise it falls evenly
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,6 +47,7 @@
 	plenty      = 0.3                    // share of the allowance left from which the pace may grow
 	passedOver  = 2 * time.Second        // how long a message passed over is thought to wait
 	anyWorth    = 0.1                    // weight of the worth itself beside its loss by waiting
+	worstBy     = 10                     // classes served alike to 1/worstBy share the worst's weight
 	holdFull    = 0.95                   // share of the room for messages from which some are refused
 	askAgain    = time.Second            // pause before a failed request for the list is repeated
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
@@ -430,6 +431,27 @@
 	return (1 + (beyond-1)*b.s.OverShareWorth) / beyond
 }
 
+// classFactor is how much more than its worth a message counts. The settings weigh the worst-served class
+// beside the whole, and a message is the larger a part of its class the less worth that has in all. Which
+// class is the worst is as seen here; one of which nothing has ended yet counts as served.
+func (b *Brain) classFactor(m *message) float64 {
+	if b.s.ClassWeight <= 0 || b.s.WholeWeight <= 0 || m.Class < 0 || m.Class >= len(b.classes) {
+		return 1
+	}
+	all, weights, own := 0.0, 0.0, 0.0
+	for i := range b.classes {
+		c := &b.classes[i]
+		first := max(b.s.Classes[i].Worth, 1e-9)
+		ended := c.ended.at(b.now, arrivalSpan) + first
+		weight := math.Exp(-worstBy * (c.served.at(b.now, arrivalSpan) + first) / ended)
+		all, weights = all+ended, weights+weight
+		if i == m.Class {
+			own = weight / ended
+		}
+	}
+	return 1 + b.s.ClassWeight/b.s.WholeWeight*all*own/weights
+}
+
 // index orders messages for a scarce slot: the worth that a message loses if passed over, and a little of
 // its worth, for the slot time that it is likely to hold. Calls failed since one was served count against it.
 func (b *Brain) index(m *message, r *route) float64 {
@@ -437,7 +459,8 @@
 	done := b.now + time.Duration(takes*float64(time.Second))
 	w := b.worth(m, done)
 	lost := float64(r.lost) * math.Exp(-(b.now-r.sentAt).Seconds()/passedOver.Seconds())
-	return (w - b.worth(m, done+passedOver) + anyWorth*w) * (1 - r.fails) / (takes * (1 + lost))
+	loss := w - b.worth(m, done+passedOver) + anyWorth*w
+	return loss * b.classFactor(m) * (1 - r.fails) / (takes * (1 + lost))
 }
 
 // ---- Choice
@@ -647,7 +670,7 @@
 	} else {
 		r.tokens--
 	}
-	r.tried.add(b.now, arrivalSpan)
+	r.tried.add(1, b.now, arrivalSpan)
 	r.sentAt = b.now
 	r.unanswered = append(r.unanswered, c)
 	b.send(m, c)
@@ -798,6 +821,7 @@
 		}
 	}
 	if e.Over || m.over {
+		m.served = e.Outcome == Served
 		b.close(m)
 		return
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1003,3 +1003,47 @@
 		}
 	}
 }
+
+// Under a limit that serves half of what comes, a class of a third of the worth was passed over for the other until it
+// was given up. Where the settings weigh the worst-served class, its messages count for the part of it that they are.
+func TestTheWorstServedClassCountsAsTheSettingsWeighIt(t *testing.T) {
+	share := func(classWeight float64) (low, high float64) {
+		s := settings()
+		s.RatedLimits, s.WholeWeight, s.ClassWeight = true, 0.8, classWeight
+		s.Classes[1] = s.Classes[0]
+		s.Classes[1].Worth = 3
+		r := newRig(t, s)
+		r.step(ListNews{Endpoints: []Endpoint{{ID: 1, Ready: true, Rating: 8}}}) // 4 a second for each of two
+		class, served := map[MessageID]int{}, map[int]float64{}
+		var open []Send
+		for tick := range 4000 {
+			r.now += 10 * ms
+			events := []Event{Alarm{}}
+			if tick%25 == 0 { // 4 a second of each
+				for c := range 2 {
+					m := r.message(c, 0, 0)
+					class[m.ID] = c
+					events = append(events, m)
+				}
+			}
+			var out []Send
+			for _, x := range open {
+				if r.now < r.sentAt[x.Message]+50*ms {
+					out = append(out, x)
+					continue
+				}
+				served[class[x.Message]]++
+				e := r.end(x, Served)
+				e.Reported, e.Limit = true, 8 // all of it is used: the pace stays
+				events = append(events, e)
+			}
+			open = append(out, r.step(events...)...)
+		}
+		return served[0] / 160, served[1] / 160
+	}
+	low, high := share(0)
+	weighed, other := share(0.2)
+	if weighed < low+0.1 || other < weighed {
+		t.Errorf("served %.2f of the class of less worth and %.2f of the other; unweighed %.2f and %.2f", weighed, other, low, high)
+	}
+}
--- a/brain/memory.go
+++ b/brain/memory.go
@@ -16,6 +16,7 @@
 	Keep    []time.Duration
 	Random  uint64
 	Tenants [][2]float64 // recent and usual rate
+	Classes [][2]Fading  // worth that has ended, and was served
 	Routes  []RouteMemory
 	Ends    []EndpointMemory
 }
@@ -80,6 +81,9 @@
 func (b *Brain) Remember() Memory {
 	m := Memory{Started: b.started, Came: Fading{b.came.n, b.came.when}, All: b.all.remember(), Keep: slices.Clone(b.keep),
 		Random: b.random}
+	for _, c := range b.classes {
+		m.Classes = append(m.Classes, [2]Fading{{c.ended.n, c.ended.when}, {c.served.n, c.served.when}})
+	}
 	for _, t := range b.tenants {
 		m.Tenants = append(m.Tenants, [2]float64{t.recent, t.usual})
 	}
@@ -124,6 +128,10 @@
 	b.started, b.random = m.Started, m.Random
 	b.came = fading{m.Came.N, m.Came.When}
 	b.all, b.keep = m.All.recall(), slices.Clone(m.Keep)
+	for i := range min(len(m.Classes), len(b.classes)) {
+		ended, served := m.Classes[i][0], m.Classes[i][1]
+		b.classes[i] = classCount{fading{ended.N, ended.When}, fading{served.N, served.When}}
+	}
 	for i := range min(len(m.Tenants), len(b.tenants)) {
 		b.tenants[i] = tenant{m.Tenants[i][0], m.Tenants[i][1]}
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -42,7 +42,7 @@
 	return f.n * math.Exp(-(now-f.when).Seconds()/span.Seconds())
 }
 
-func (f *fading) add(now, span time.Duration) { f.n, f.when = f.at(now, span)+1, now }
+func (f *fading) add(n float64, now, span time.Duration) { f.n, f.when = f.at(now, span)+n, now }
 
 type route struct {
 	oracle
@@ -136,6 +136,7 @@
 	attempts  []attempt
 	out       int // attempts without an outcome
 	over      bool
+	served    bool
 	mayRun    bool
 	firstRun  time.Duration // first send that may have run
 	ranZone   int
@@ -151,6 +152,9 @@
 	key       uint64
 }
 
+// classCount is the worth of a class's messages that have ended, over arrivalSpan, and what of it was served.
+type classCount struct{ ended, served fading }
+
 type tenant struct{ recent, usual float64 } // messages a second, over shareSpan and over ten times that
 
 // Brain is one sender's decisions.
@@ -172,6 +176,7 @@
 	all       oracle // of all routes together, for what is usual here
 	takenBack int    // calls called off, without an outcome
 	tenants   []tenant
+	classes   []classCount
 	tenantsAt time.Duration
 	askAt     time.Duration
 	idle      []*endpoint      // perhaps with an idle connection
@@ -186,7 +191,7 @@
 func New(s Settings, seed uint64) *Brain {
 	b := &Brain{s: s, random: seed, now: -never, started: -never, alarm: never, askAt: never, byID: map[MessageID]*message{},
 		dests: map[DestinationID]*destination{}, endpoints: map[EndpointID]*endpoint{},
-		turns: map[uint64]*turn{}, tenants: make([]tenant, len(s.Tenants))}
+		turns: map[uint64]*turn{}, tenants: make([]tenant, len(s.Tenants)), classes: make([]classCount, len(s.Classes))}
 	if s.AsksForList {
 		b.askAt = -never
 	}
@@ -348,6 +353,9 @@
 // retune takes in new settings. What was learnt of destinations stays, and the messages held have their rules.
 func (b *Brain) retune(s Settings) {
 	b.s = s
+	if len(s.Classes) != len(b.classes) {
+		b.classes = make([]classCount, len(s.Classes))
+	}
 	b.tenants = append(b.tenants, make([]tenant, max(0, len(s.Tenants)-len(b.tenants)))...)[:len(s.Tenants)]
 }
 
@@ -372,7 +380,7 @@
 	} else {
 		m.dest.waiting = append(m.dest.waiting, m)
 	}
-	b.came.add(b.now, arrivalSpan)
+	b.came.add(1, b.now, arrivalSpan)
 	if !msg.Resumed {
 		b.fresh++
 	}
@@ -397,6 +405,7 @@
 func (b *Brain) close(m *message) {
 	if !m.over {
 		m.over = true
+		b.countClass(m)
 		b.held = without(b.held, m)
 		m.dest.waiting = without(m.dest.waiting, m)
 	}
@@ -409,6 +418,18 @@
 	}
 }
 
+// countClass books what became of m with its class.
+func (b *Brain) countClass(m *message) {
+	if m.Class < 0 || m.Class >= len(b.classes) { // of settings that are no longer in force
+		return
+	}
+	c := &b.classes[m.Class]
+	c.ended.add(m.class.Worth, b.now, arrivalSpan)
+	if m.served {
+		c.served.add(b.worth(m, b.now), b.now, arrivalSpan)
+	}
+}
+
 // tries counts the attempts made, those before a restart too.
 func (m *message) tries() int { return m.Tried + len(m.attempts) }
 
@@ -426,7 +447,7 @@
 	}
 	r.served = r.served*math.Exp(-(b.now-r.lastServed).Seconds()/rateSpan.Seconds()) + 1
 	r.lastServed = b.now
-	r.done.add(b.now, arrivalSpan)
+	r.done.add(1, b.now, arrivalSpan)
 }
 
 // rateServed is the rate of calls served as of the last of them.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 		AsksForList: env.Word("discovery", "pushed", "on_request") == 1, Step: ms("step"),
 		SettleAfterDoubt: ms("rules.settleAfterDoubt"), FallMultiple: env.Float("rules.fallMultiple"),
 		StartCapacity: env.Float("rules.startCapacity"), OverloadFor: ms("rules.overloadFor"), Cold: ms("rules.cold"),
+		WholeWeight:    env.Float("blend.whole") + env.Float("blend.worstWindow"),
+		ClassWeight:    env.Float("blend.worstClass"),
 		OverShareWorth: env.Float("overShareWorth"),
 		CrossZonePrice: env.Float("costs.crossZone"),
 		Halving:        env.Word("familyInfo.fades", "linear", "halving") == 1,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,6 +22,9 @@
 familyInfo.routesApart=false,true
 familyInfo.toll=0.0
 limits.cancel=true
+blend.whole=0.5
+blend.worstClass=0.2
+blend.worstWindow=0.25
 limits.connIdle=15000.0
 limits.maxRetryAfter=2000.5
 models=processor,retailer
@@ -37,7 +40,7 @@
 services.0.giveUp=28000.0
 services.0.name=card-event
 zones=x,y_z`
-	const nested = `{"balancers":2,"costs":{"handshake":0.06},"discovery":"on_request",
+	const nested = `{"balancers":2,"blend":{"whole":0.5,"worstClass":0.2,"worstWindow":0.25},"costs":{"handshake":0.06},"discovery":"on_request",
 "familyInfo":{"callsOut":18,"fades":"halving","notes":"full: wait, 0 if none","perCall":[1,3],"routesApart":[false,true],"toll":[0.0]},
 "limits":{"cancel":true,"connIdle":15000.0,"maxRetryAfter":2000.5},"models":["processor","retailer"],
 "orgs":[{"allowancePerS":14.0,"name":"a","share":0.38},{"allowancePerS":9.0,"name":"b","share":0.62}],
@@ -55,7 +58,8 @@
 	}
 	s := Translate(got)
 	if got.Err() != nil || s.Slots != 18 || s.MaxHoldOff != 2000500*time.Microsecond || !s.Halving || !s.Kinds[1].Apart ||
-		s.Kinds[1].PerCall != 3 || s.Classes[0].Effect != brain.Keyed || s.Tenants[1].Allowance != 9 || !s.AsksForList {
+		s.Kinds[1].PerCall != 3 || s.Classes[0].Effect != brain.Keyed || s.Tenants[1].Allowance != 9 || !s.AsksForList ||
+		s.WholeWeight != 0.75 || s.ClassWeight != 0.2 {
 		t.Errorf("%v: %+v", got.Err(), s)
 	}
 }
