Guard sending, repeating, closing and starting at one place that counts violations

Cause: what a rule forbids was kept out by the decisions alone; nothing in service told when one slipped through. Change: guard.go stands before the write of each call, before a repeat, at the close of a client's connection and at the start without a lock. What it forbids is not written and counts as violations.RULE in DUMP, with a log line. Ruled out: a check in the loop alone, as a call may wait for its connection for seconds after the decision.

--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -36,9 +37,11 @@
 	listed bool
 	target Target // as last told
 
-	mu   sync.Mutex
-	addr string
-	idle []*conn // the one used last at the end
+	mu      sync.Mutex
+	addr    string
+	idle    []*conn   // the one used last at the end
+	drained time.Time // since when it drains or is gone, the zero time while it serves
+	scope   waitScope // what a wait told by it binds
 }
 
 type conn struct {
@@ -111,12 +114,14 @@
 	fields         []string
 	forwarded      func(messages int) // called when a call is written whole
 	dialer         net.Dialer
+	guard          *guard
 }
 
 func newPool(c *Config) *pool {
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
-	p := &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10, fields: c.Fields, forwarded: func(int) {}}
+	p := &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10, fields: c.Fields, forwarded: func(int) {},
+		guard: newGuard(slog.New(slog.DiscardHandler), newFigures(nil))}
 	p.most.Store(int64(c.idleMost()))
 	return p
 }
@@ -208,6 +213,7 @@
 	record
 	message *message
 	attempt int
+	permit  permit
 	timeout time.Duration
 	begin   time.Duration // it is not written later than this
 	by      time.Time     // the same as a time
@@ -309,13 +315,13 @@
 // counts each call whose last byte has come. ctx ends it early, its deadline being the time-out; begin does until the
 // last byte is written. An answer that begins after the time told in the call is late, however soon it is found that the
 // time-out is up: the endpoint's side has given the call up, and does not take the message as delivered.
-func (p *pool) call(ctx, begin context.Context, e *endpoint, m record, timeout time.Duration) brain.AttemptEnd {
+func (p *pool) call(ctx, begin context.Context, e *endpoint, it item, timeout time.Duration) brain.AttemptEnd {
 	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(timeout)
 	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
 		told := waits(until)
 		until = time.Now().Add(told)
-		out, err := request(addr, "/hook", "", m, m.Body, told)
-		return rendered{text: out, messages: 1, alone: true}, err
+		out, err := request(addr, "/hook", "", it.record, it.Body, told)
+		return rendered{text: out, permits: []permit{it.permit}, alone: true}, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -328,7 +334,7 @@
 		end.Outcome, end.Over = outcome, outcome == brain.Served
 		return end
 	}
-	p.read(resp, c, &end)
+	p.read(e, resp, c, &end)
 	// A first line of 200 is true whatever follows, if it comes in time. Any other answer counts only if it comes whole: that a call
 	// never ran is not to be taken from half an answer.
 	switch _, whole := p.rest(e, c, resp); {
@@ -362,6 +368,7 @@
 	end, until := brain.AttemptEnd{Endpoint: e.number}, time.Now().Add(timeout)
 	resp, c, outcome := p.exchange(ctx, begin, e, func(addr string) (rendered, error) {
 		var parts []part
+		var permits []permit
 		var by time.Time
 		for _, it := range items {
 			if !it.board() {
@@ -370,7 +377,7 @@
 			if it.Body == nil {
 				it.Body = []byte{}
 			}
-			parts = append(parts, part{it.ID, it.Key, it.Body})
+			parts, permits = append(parts, part{it.ID, it.Key, it.Body}), append(permits, it.permit)
 			if by.IsZero() || it.by.Before(by) {
 				by = it.by
 			}
@@ -385,7 +392,7 @@
 		told := waits(until)
 		until = time.Now().Add(told)
 		out, err := request(addr, "/hook/batch", "application/json", record{}, body, told)
-		return rendered{text: out, messages: len(parts), by: by, way: items[0].way}, err
+		return rendered{text: out, permits: permits, by: by, way: items[0].way}, err
 	})
 	if c != nil {
 		end.Idle = c.idle
@@ -399,7 +406,7 @@
 		}
 		return all(end)
 	}
-	p.read(resp, c, &end)
+	p.read(e, resp, c, &end)
 	body, whole := p.rest(e, c, resp)
 	switch {
 	case !time.Now().Before(until): // here the whole answer counts, so all of it has to come in time
@@ -449,11 +456,11 @@
 
 // rendered is a call as it is written.
 type rendered struct {
-	text     []byte
-	messages int
-	by       time.Time // its last byte is written by then or never; the zero time for no bound
-	way      *carriage // nil if nobody else may end it
-	alone    bool      // it is a call for one message
+	text    []byte
+	permits []permit  // of its messages
+	by      time.Time // its last byte is written by then or never; the zero time for no bound
+	way     *carriage // nil if nobody else may end it
+	alone   bool      // it is a call for one message
 }
 
 var errNobody = errors.New("no message is left for this call")
@@ -478,6 +485,10 @@
 			return nil, nil, unbegun(ctx, begin)
 		}
 	}
+	if p.guard.checkSend(e, out.permits) != nil {
+		p.put(e, c)
+		return nil, nil, brain.NotSent
+	}
 	by, _ := begin.Deadline()
 	if !out.by.IsZero() {
 		by = out.by
@@ -494,7 +505,7 @@
 		return nil, nil, brain.ConnectFailed
 	}
 	out.way.set(c, true)
-	p.forwarded(out.messages)
+	p.forwarded(len(out.permits))
 	c.calls++
 	c.first, c.room = c.first[:0], maxAnswer
 	resp, err := answer(c.r)
@@ -558,7 +569,7 @@
 }
 
 // read translates an answer.
-func (p *pool) read(resp *http.Response, c *conn, end *brain.AttemptEnd) {
+func (p *pool) read(e *endpoint, resp *http.Response, c *conn, end *brain.AttemptEnd) {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		end.Outcome, end.Over = brain.Served, true
@@ -583,6 +594,10 @@
 	}
 	if ms, err := strconv.ParseFloat(resp.Header.Get("X-RateLimit-Wait-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
 		end.Wait = time.Duration(ms * float64(time.Millisecond))
+		e.mu.Lock()
+		scope := e.scope
+		e.mu.Unlock()
+		p.guard.waitTold(scope, end.Wait)
 	}
 	report := map[string]float64{}
 	for _, part := range strings.Split(resp.Header.Get("X-Load"), ",") {
@@ -606,6 +621,11 @@
 func (l *endpoints) clear() {
 	for _, e := range l.byNumber {
 		e.listed, e.target.State = false, "DELETED"
+		e.mu.Lock()
+		if e.drained.IsZero() {
+			e.drained = time.Now()
+		}
+		e.mu.Unlock()
 	}
 	l.listed = 0
 }
@@ -651,6 +671,18 @@
 	if !ready {
 		p.closeIdle(e, 0)
 	}
+	e.mu.Lock()
+	switch {
+	case ready:
+		e.drained = time.Time{}
+	case e.drained.IsZero():
+		e.drained = time.Now()
+	}
+	e.scope = waitScope{destination: brain.DestinationID(t.Cell)}
+	if kind < len(c.Settings.Kinds) && c.Settings.Kinds[kind].Apart {
+		e.scope = waitScope{endpoint: e.number, apart: true}
+	}
+	e.mu.Unlock()
 	return brain.Endpoint{ID: e.number, Destination: brain.DestinationID(t.Cell), Kind: kind,
 		Zone: e.zone, Ready: ready, Rating: t.Weight}
 }
--- a/internal/sender/endpoints_test.go
+++ b/internal/sender/endpoints_test.go
@@ -25,7 +25,7 @@
 func callOnce(p *pool, e *endpoint, timeout time.Duration, body string) brain.AttemptEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return p.call(ctx, ctx, e, record{ID: "id", Key: "key", Body: []byte(body)}, timeout)
+	return p.call(ctx, ctx, e, item{record: record{ID: "id", Key: "key", Body: []byte(body)}}, timeout)
 }
 
 func TestOutcomes(t *testing.T) {
@@ -296,7 +296,7 @@
 				items := []item{{record: record{ID: "a"}, place: new(atomic.Int32)}, {record: record{ID: "b"}, place: new(atomic.Int32)}}
 				got = p.callMany(ctx, ctx, at, items, told)
 			} else {
-				got = append(got, p.call(ctx, ctx, at, record{ID: "a"}, told))
+				got = append(got, p.call(ctx, ctx, at, item{record: record{ID: "a"}}, told))
 			}
 			for _, end := range got {
 				if end != c.want {
@@ -385,7 +385,7 @@
 	st.Receive(t, closed)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan brain.AttemptEnd, 1)
-	go func() { ended <- p.call(ctx, ctx, at, record{ID: "id"}, st.Wait) }()
+	go func() { ended <- p.call(ctx, ctx, at, item{record: record{ID: "id"}}, st.Wait) }()
 	e.Next(t)
 	e.Next(t)
 	cancel()
@@ -534,7 +534,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		text, err := request(addr, "/hook", "", record{ID: "second"}, nil, time.Second)
-		return rendered{text: text, messages: 1}, err
+		return rendered{text: text, permits: []permit{{}}}, err
 	})
 	if resp == nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("it is answered %+v, %v", resp, outcome)
@@ -584,7 +584,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	p := newPool(&Config{ConnectTimeout: time.Second, Limits: Limits{Sockets: 64}})
-	p.call(ctx, ctx, &endpoint{addr: l.Addr().String()}, record{ID: "id"}, 50*time.Millisecond)
+	p.call(ctx, ctx, &endpoint{addr: l.Addr().String()}, item{record: record{ID: "id"}}, 50*time.Millisecond)
 	if err := st.Receive(t, ended); err == nil {
 		t.Error("the connection ended in order")
 	}
@@ -638,7 +638,7 @@
 	begin, end := context.WithTimeout(ctx, 10*time.Millisecond)
 	defer end()
 	p.dialer.Control = func(string, string, syscall.RawConn) error { <-begin.Done(); return nil }
-	if got := p.call(ctx, begin, at, record{ID: "late"}, st.Wait); got.Outcome != brain.ConnectFailed {
+	if got := p.call(ctx, begin, at, item{record: record{ID: "late"}}, st.Wait); got.Outcome != brain.ConnectFailed {
 		t.Errorf("begun too late: %+v", got)
 	}
 	if got := callOnce(p, at, st.Wait, "next"); got.Outcome != brain.Served {
--- a/internal/sender/figures.go
+++ b/internal/sender/figures.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,6 +29,7 @@
 	applied  uint64 // configurations taken at SIGHUP
 	rejected uint64 // and turned down
 	gauges
+	reasons map[string]uint64 // by kind and reason
 
 	beat time.Time // when the loop last came round
 }
@@ -35,7 +38,10 @@
 type gauges struct{ outstanding, discovered, ejected int }
 
 func newFigures(classes []string) *figures {
-	f := &figures{byClass: map[string]*tally{}}
+	f := &figures{byClass: map[string]*tally{}, reasons: map[string]uint64{}}
+	for _, rule := range allRules {
+		f.reasons[string(reasonViolation)+"."+string(rule)] = 0
+	}
 	f.name(classes)
 	return f
 }
@@ -82,6 +88,23 @@
 	})
 }
 
+// reasonKind groups the reasons that are counted.
+type reasonKind string
+
+// What is counted by its reason.
+const (
+	reasonViolation reasonKind = "violations" // a rule that the guard checks was about to be broken
+	reasonClosed    reasonKind = "closed"     // a client's connection was closed
+	reasonRefused   reasonKind = "refused"    // a request was refused
+	reasonRetried   reasonKind = "retried"    // an attempt ended and its message goes on
+	reasonDropped   reasonKind = "dropped"    // a connection to an endpoint was closed with its call
+)
+
+// reason counts something by why it happened. Reasons are few fixed words.
+func (f *figures) reason(kind reasonKind, why string) {
+	f.count(func(f *figures) { f.reasons[string(kind)+"."+why]++ })
+}
+
 // set stores the gauges, and that the loop is alive.
 func (f *figures) set(g gauges) { f.count(func(f *figures) { f.gauges, f.beat = g, time.Now() }) }
 
@@ -100,6 +123,7 @@
 		classes = append(classes, *t)
 	}
 	forwards, applied, rejected, now := f.forwards, f.applied, f.rejected, f.gauges
+	reasons := maps.Clone(f.reasons)
 	f.mu.Unlock()
 	for _, t := range classes {
 		fmt.Fprintf(w, "%ssucceeded.%s=%d\n", figurePrefix, t.class, t.succeeded)
@@ -113,4 +137,7 @@
 		{"ejected", now.ejected}, {"sighup_applied", applied}, {"sighup_rejected", rejected}} {
 		fmt.Fprintf(w, "%s%s=%d\n", figurePrefix, l.name, l.value)
 	}
+	for _, name := range slices.Sorted(maps.Keys(reasons)) {
+		fmt.Fprintf(w, "%s%s=%d\n", figurePrefix, name, reasons[name])
+	}
 }
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -239,6 +239,7 @@
 		lock, err := lockFolder(s.folder)
 		if err != nil {
 			s.log.Warn("the state folder cannot be locked: an upgrade will not be noticed", "err", err)
+			s.guard.checkStart(false)
 		}
 		if lock != nil || err != nil {
 			s.lock = lock
--- a/internal/sender/listener.go
+++ b/internal/sender/listener.go
@@ -23,6 +23,8 @@
 	empty  chan struct{} // closed when the queue has been emptied, and with it the listener
 	last   func()        // empties it
 	cut    atomic.Bool   // connections are closed at once
+
+	closing func(*clientConn) // called when a connection is about to be closed; may be nil
 }
 
 func newLimitListener(l net.Listener, most int) *limitListener {
@@ -51,7 +53,7 @@
 	}
 	c, err := d.Listener.Accept()
 	if err == nil {
-		return &clientConn{Conn: c, cut: &d.cut, left: sync.OnceFunc(func() { <-d.places })}, nil
+		return &clientConn{Conn: c, cut: &d.cut, closing: d.closing, left: sync.OnceFunc(func() { <-d.places })}, nil
 	}
 	<-d.places
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -71,6 +73,7 @@
 	owed     atomic.Bool  // a request has been read to its end
 	answered atomic.Bool  // something has been written
 	cut      *atomic.Bool // the listener's: nobody is waited for any more
+	closing  func(*clientConn)
 }
 
 const (
@@ -100,6 +103,7 @@
 
 func (g *clientConn) Write(b []byte) (int, error) {
 	g.answered.Store(true)
+	g.owed.Store(false)
 	g.begun.Store(false) // before the client can go on: what is read from now on is its next request
 	return g.Conn.Write(b)
 }
@@ -108,6 +112,9 @@
 // still says is dropped for a moment.
 func (g *clientConn) Close() error {
 	defer g.left()
+	if g.closing != nil {
+		g.closing(g)
+	}
 	if g.answered.Load() && !g.cut.Load() && !quiet(g.Conn) && g.CloseWrite() == nil {
 		g.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		io.Copy(io.Discard, io.LimitReader(g.Conn, lingerMost))
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -73,6 +73,7 @@
 	disc    *discovery
 	server  *server
 	figures *figures
+	guard   *guard
 
 	events    chan any
 	asked     chan struct{}
@@ -121,11 +122,15 @@
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	s.pool.forwarded = s.figures.forwarded
+	s.guard = newGuard(log, s.figures)
+	s.pool.guard = s.guard
 	s.disc.asks = c.Settings.AsksForList
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
+	s.server.guard = s.guard
 	lock, err := lockFolder(c.State)
 	if err != nil {
 		log.Warn("the state folder cannot be locked: an upgrade will not be noticed", "err", err)
+		s.guard.checkStart(false)
 	} else if lock == nil {
 		return s, nil // another process holds it: Run takes over from that
 	}
@@ -783,7 +788,7 @@
 		if m == nil || e == nil {
 			continue
 		}
-		it := item{record: m.record, message: m, attempt: m.sends, timeout: a.Timeout, begin: max(1, now+a.Begin-s.clock.now()), last: now+a.Timeout >= m.Deadline}
+		it := item{record: m.record, message: m, attempt: m.sends, permit: permitOf(m, m.calls, s.clock.now()), timeout: a.Timeout, begin: max(1, now+a.Begin-s.clock.now()), last: now+a.Timeout >= m.Deadline}
 		m.sends++
 		size := base64.StdEncoding.EncodedLen(len(m.Body)) + len(m.ID) + len(m.Key) + 64
 		c := open[e]
@@ -865,7 +870,7 @@
 				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
 			}
 		case len(items) == 1:
-			ends[0] = s.pool.call(call, begin, e, items[0].record, timeout)
+			ends[0] = s.pool.call(call, begin, e, items[0], timeout)
 		default:
 			ends = s.pool.callMany(call, begin, e, items, timeout)
 		}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -57,6 +57,7 @@
 type server struct {
 	conf    atomic.Pointer[Config]
 	clock   clock
+	guard   *guard // nil for none
 	submit  func(context.Context, submission) bool
 	ready   atomic.Bool
 	closing atomic.Bool // answers say that the connection ends
@@ -94,6 +95,9 @@
 // accepted, while none of those connected can be let go.
 func (s *server) listenOn(l net.Listener) *limitListener {
 	d := newLimitListener(l, s.most)
+	if s.guard != nil {
+		d.closing = s.guard.checkClose
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listener = d
