Count reasons of closes, refusals and retries, and log each message under its id on demand

Cause: the figures told how many messages were refused or repeated and never why, and the log followed no message. Change: closed, dropped, refused and retried lines by reason in DUMP; EDGE_LOG_LEVEL=debug logs taking on, attempts, ends and notices with the id. Measured: the package's tests pass with the race detector. Ruled out: a line for each message at the usual level, as the processor time counts.

--- a/brain/api.go
+++ b/brain/api.go
@@ -137,6 +137,17 @@
 	NotSent
 )
 
+var outcomeNames = [...]string{Served: "served", Errored: "errored", Refused: "refused", TimedOut: "timed_out",
+	ConnectFailed: "connect_failed", Broken: "broken", Cancelled: "cancelled", NotSent: "not_sent"}
+
+// String is the outcome's name in logs and figures.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
 // AttemptEnd says that an attempt is over.
 type AttemptEnd struct {
 	Message  MessageID
--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -20,13 +20,22 @@
 const memoryPart = 0.6
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel(os.Getenv("EDGE_LOG_LEVEL"))}))
 	if err := run(log); err != nil {
 		log.Error("saffronyard", "err", err)
 		os.Exit(1)
 	}
 }
 
+// logLevel reads a level's name; debug follows each message by its id. Anything else means info.
+func logLevel(name string) slog.Level {
+	var level slog.Level
+	if level.UnmarshalText([]byte(name)) != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
+
 func run(log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -59,9 +59,18 @@
 	until time.Time     // the end of its time, the zero time for none
 }
 
+// Why a connection to an endpoint was closed with its call.
+const (
+	droppedRecalled   = "recalled"   // a message of its call has ended, and the bytes may not have arrived
+	droppedUnwritten  = "unwritten"  // the call could not be written whole
+	droppedUnread     = "unread"     // no head of an answer came that can be read
+	droppedIncomplete = "incomplete" // the answer did not come whole, ends the connection, or has bytes behind it
+)
+
 // drop ends a connection whose call is abandoned. What it has written and the other side, cut off, has not received is
 // thrown away: it would arrive when the cut ends, after its message's end.
-func (c *conn) drop() {
+func (c *conn) drop(f *figures, why string) {
+	f.reason(reasonDropped, why)
 	c.stop()
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.SetLinger(0)
@@ -234,6 +243,7 @@
 
 // carriage is the connection that a call is out on, until it is answered.
 type carriage struct {
+	figures *figures
 	mu      sync.Mutex
 	conn    *conn
 	written bool
@@ -252,7 +262,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.conn != nil && !(w.written && w.conn.arrived()) {
-		w.conn.drop()
+		w.conn.drop(w.figures, droppedRecalled)
 	}
 }
 
@@ -501,7 +511,7 @@
 	out.way.set(c, false)
 	defer out.way.set(nil, false) // before a further call can have the connection
 	if _, err = c.Write(out.text); err != nil {
-		c.drop()
+		c.drop(p.guard.figures, droppedUnwritten)
 		return nil, nil, brain.ConnectFailed
 	}
 	out.way.set(c, true)
@@ -512,7 +522,7 @@
 	if err == nil {
 		return resp, c, 0
 	}
-	c.drop()
+	c.drop(p.guard.figures, droppedUnread)
 	switch {
 	case c.saysServed():
 		return nil, c, brain.Served
@@ -546,7 +556,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	whole = err == nil && len(body) <= maxBody
 	if !whole || resp.Close || c.r.Buffered() > 0 || !c.stop() {
-		c.drop()
+		c.drop(p.guard.figures, droppedIncomplete)
 	} else {
 		p.put(e, c)
 	}
--- a/internal/sender/guard.go
+++ b/internal/sender/guard.go
@@ -144,6 +144,7 @@
 
 // checkClose counts a client's connection that is closed while it is owed an answer.
 func (g *guard) checkClose(c *clientConn) {
+	g.figures.reason(reasonClosed, c.whyClosed())
 	if c.owed.Load() {
 		g.violated(RuleAnswer, "", "a connection is closed with a whole request and no answer")
 	}
--- a/internal/sender/listener.go
+++ b/internal/sender/listener.go
@@ -74,6 +74,7 @@
 	answered atomic.Bool  // something has been written
 	cut      *atomic.Bool // the listener's: nobody is waited for any more
 	closing  func(*clientConn)
+	reason   atomic.Pointer[string] // why it is let go of, nil if its client or net/http ends it
 }
 
 const (
@@ -82,9 +83,26 @@
 	lingerMost = 256 << 10
 )
 
+// Why a client's connection is let go of.
+const (
+	closedLeaving = "leaving"       // the process ends
+	closedRoom    = "room"          // it was silent, and another needs its place
+	closedHalf    = "room_half"     // it was in the middle of its first request, and another needs its place
+	closedOther   = "client_or_end" // by the client, a time limit, or behind an answer that ends the connection
+)
+
+// whyClosed is the reason that is counted when the connection closes.
+func (g *clientConn) whyClosed() string {
+	if why := g.reason.Load(); why != nil {
+		return *why
+	}
+	return closedOther
+}
+
 // dismiss ends the reading. Unlike a close it costs nobody an answer: a request that has been read already, by whoever
 // was just reading, is still served, and the connection is closed then.
-func (g *clientConn) dismiss() {
+func (g *clientConn) dismiss(why string) {
+	g.reason.CompareAndSwap(nil, &why)
 	g.gone.Store(true)
 	g.SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -464,6 +464,7 @@
 		told := map[string]bool{}
 		for _, n := range e.notices {
 			told[n.Message] = true
+			s.trace("notice taken", n.Message, "outcome", n.Outcome)
 			if m := s.journal.byID[n.Message]; m != nil && m.how != "" {
 				s.journal.note(m, record{Op: "told"})
 			}
@@ -477,6 +478,8 @@
 // has not been sent, so its client may come again.
 func (s *Sender) submitted(sub submission) brain.Event {
 	refuse := func(why string) brain.Event {
+		s.figures.reason(reasonRefused, strings.ReplaceAll(why, " ", "_"))
+		s.trace("refused", sub.ID, "why", why)
 		s.figures.declined(sub.Class)
 		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, why}
 		return nil
@@ -506,6 +509,7 @@
 	if err != nil {
 		return refuse("no room to keep the message")
 	}
+	s.trace("taken on", sub.ID, "class", sub.Class, "destination", sub.Dest, "left", sub.Deadline-s.clock.now())
 	return brain.Message{ID: s.hold(st, sub.answer), Class: sub.class, Tenant: sub.tenant,
 		Destination: brain.DestinationID(sub.Dest), Deadline: sub.Deadline, Rules: sub.Rules.forBrain()}
 }
@@ -529,6 +533,7 @@
 func (s *Sender) itemEnded(e itemEnd) brain.Event {
 	m := e.message
 	delete(m.calls, e.attempt)
+	s.trace("attempt ended", m.ID, "attempt", m.base+e.attempt, "outcome", e.Outcome, "took", e.Elapsed, "wait", e.Wait)
 	e.Message, e.Attempt = m.number, e.attempt
 	if e.Outcome == brain.TimedOut {
 		// Where a machine vanished or was cut off, the connections from before say nothing either, and are
@@ -549,6 +554,7 @@
 		case e.Over:
 			s.end(m, record{How: answered})
 		default:
+			s.figures.reason(reasonRetried, e.Outcome.String())
 			never := e.Outcome == brain.Refused || e.Outcome == brain.ConnectFailed || e.Outcome == brain.NotSent
 			s.journal.note(m.stored, record{Op: "end", Try: m.base + e.attempt, Never: never})
 		}
@@ -560,6 +566,7 @@
 // end writes down that a message is over. A client that still waits hears it from the caller.
 func (s *Sender) end(m *message, rec record) {
 	rec.Op = "over"
+	s.trace("over", m.ID, "how", rec.How)
 	s.journal.note(m.stored, rec)
 	m.ended = true
 	s.held--
@@ -646,6 +653,13 @@
 	s.publish()
 }
 
+// trace logs what happens to one message, under its id, where the log level asks for it.
+func (s *Sender) trace(what, id string, details ...any) {
+	if s.log.Enabled(context.Background(), slog.LevelDebug) {
+		s.log.Debug(what, append([]any{"id", id}, details...)...)
+	}
+}
+
 // withhold ends calls that have not been written yet.
 func (s *Sender) withhold(which func(*outCall) bool) {
 	for _, m := range s.messages {
@@ -740,6 +754,7 @@
 		return
 	}
 	if how == handedBack {
+		s.figures.reason(reasonRefused, "by_decision")
 		s.figures.declined(m.Class)
 	} else {
 		s.figures.aborted(m.Class)
@@ -790,6 +805,7 @@
 		}
 		it := item{record: m.record, message: m, attempt: m.sends, permit: permitOf(m, m.calls, s.clock.now()), timeout: a.Timeout, begin: max(1, now+a.Begin-s.clock.now()), last: now+a.Timeout >= m.Deadline}
 		m.sends++
+		s.trace("attempt", m.ID, "attempt", m.base+it.attempt, "endpoint", e.id, "timeout", a.Timeout, "written", written)
 		size := base64.StdEncoding.EncodedLen(len(m.Body)) + len(m.ID) + len(m.Key) + 64
 		c := open[e]
 		if c == nil || len(c.items) >= e.most || c.size+size > maxShared {
@@ -813,7 +829,7 @@
 // call is abandoned: else they would arrive once the cut is over. Any other time-out ends the call: the message may be sent again at once, and two copies of it
 // must not be out together.
 func (s *Sender) call(ctx context.Context, e *endpoint, items []item, written bool) {
-	way := &carriage{}
+	way := &carriage{figures: s.figures}
 	timeout, latest, cut := time.Duration(0), time.Duration(0), time.Duration(math.MaxInt64)
 	for i := range items {
 		it := &items[i]
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -133,7 +133,7 @@
 	s.leaving = true
 	for g := range s.quiet {
 		if s.known[g] && !g.begun.Load() && quiet(g) {
-			g.dismiss()
+			g.dismiss(closedLeaving)
 		}
 	}
 	s.isCalm()
@@ -144,7 +144,7 @@
 func (s *server) dismiss() {
 	for g := range s.quiet {
 		if quiet(g) {
-			g.dismiss()
+			g.dismiss(closedLeaving)
 		}
 	}
 }
@@ -200,7 +200,7 @@
 		if time.Until(until) < answersEnd/2 { // whoever has just come in has had time to speak
 			s.dismiss()
 			for g := range s.half {
-				g.dismiss()
+				g.dismiss(closedLeaving)
 			}
 		}
 		open := s.open
@@ -285,7 +285,7 @@
 			return false
 		case quiet(oldest): // nearly always the first one
 			delete(s.quiet, oldest)
-			oldest.dismiss()
+			oldest.dismiss(closedRoom)
 			return true
 		}
 		asked[oldest] = true
@@ -305,7 +305,7 @@
 		return false
 	}
 	delete(s.half, oldest)
-	oldest.dismiss()
+	oldest.dismiss(closedHalf)
 	time.AfterFunc(evictAgain, func() {
 		if !oldest.owed.Load() {
 			oldest.Close()
@@ -320,7 +320,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		if status, err := framing(r); err != nil {
-			reject(w, err, status)
+			s.reject(w, err, status)
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -341,7 +341,10 @@
 }
 
 // reject answers a request that is not sound, and reads nothing more from its peer: where it ends is not sure.
-func reject(w http.ResponseWriter, err error, status int) {
+func (s *server) reject(w http.ResponseWriter, err error, status int) {
+	if s.guard != nil {
+		s.guard.figures.reason(reasonRefused, "status_"+strconv.Itoa(status))
+	}
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
 }
@@ -352,7 +355,7 @@
 	arrived := s.clock.now()
 	sub, status, err := s.parse(w, r, arrived)
 	if err != nil {
-		reject(w, err, status)
+		s.reject(w, err, status)
 		return
 	}
 	s.whole(r)
