Let tests replace clocks, files and sockets of a sender by failing ones

Cause: faults of the operating system could be forced on a running sender only with special rights. Change: Environment holds the wall clock, the state folder, the configuration's file, the listener and the sockets to endpoints; the process itself moves from the command into internal/sender so that other programs can start one. No behaviour changes. Ruled out: a system-call filter around the process, as clocks are read without a system call.

--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -68,8 +68,8 @@
 }
 
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
-func LoadConfig(getenv func(string) string) (*Config, error) {
-	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
+func LoadConfig(env Environment, getenv func(string) string) (*Config, error) {
+	raw, err := env.ReadFile(getenv("EDGE_CONFIG"))
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
@@ -120,8 +120,8 @@
 // reload reads the file again and gives the configuration that follows this one. Here the file wins over the
 // variables, as those are of the start. What a process is by its start (name, addresses of its own, folder,
 // limits) stays. A file that lacks anything that the one before had was not written whole: nothing is taken of it.
-func (c *Config) reload(getenv func(string) string) (*Config, error) {
-	raw, err := os.ReadFile(getenv("EDGE_CONFIG"))
+func (c *Config) reload(env Environment, getenv func(string) string) (*Config, error) {
+	raw, err := env.ReadFile(getenv("EDGE_CONFIG"))
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
@@ -333,9 +333,8 @@
 	base  time.Duration
 }
 
-func newClock() clock {
-	now := time.Now()
-	return clock{now, time.Duration(now.UnixNano())}
+func newClock(wall time.Time) clock {
+	return clock{time.Now(), time.Duration(wall.UnixNano())}
 }
 
 func (c clock) now() time.Duration { return c.base + time.Since(c.start) }
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -151,7 +151,8 @@
 // journal keeps what was taken on. It belongs to the loop.
 type journal struct {
 	path   string
-	file   *os.File
+	files  FileSystem
+	file   File
 	budget int64 // bytes that old and new file may hold together
 	size   int64
 	live   int64 // the sum of costs: an upper bound of a compacted file, now and until its messages end
@@ -211,9 +212,9 @@
 }
 
 // openJournal reads what an earlier process left and begins a compacted file.
-func openJournal(dir string, budget int64) (*journal, error) {
-	j := &journal{path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}}
-	old, err := os.Open(j.path)
+func openJournal(files FileSystem, dir string, budget int64) (*journal, error) {
+	j := &journal{files: files, path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}}
+	old, err := files.OpenFile(j.path, os.O_RDONLY, 0)
 	if err == nil {
 		err = j.replay(old)
 		old.Close()
@@ -412,14 +413,14 @@
 	err := j.rewrite()
 	j.failed, j.tried = err != nil, time.Now()
 	if err != nil {
-		os.Remove(j.path + ".new")
+		j.files.Remove(j.path + ".new")
 		return fmt.Errorf("journal: %w", err)
 	}
 	return nil
 }
 
 func (j *journal) rewrite() error {
-	f, err := os.OpenFile(j.path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := j.files.OpenFile(j.path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
@@ -454,7 +455,7 @@
 		f.Close()
 		return err
 	}
-	if err := os.Rename(j.path+".new", j.path); err != nil {
+	if err := j.files.Rename(j.path+".new", j.path); err != nil {
 		f.Close()
 		return err
 	}
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -14,7 +14,7 @@
 
 func openTest(t *testing.T, dir string, budget int64) *journal {
 	t.Helper()
-	j, err := openJournal(dir, budget)
+	j, err := openJournal(osFiles{}, dir, budget)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -54,7 +54,7 @@
 	if err := st.Receive(t, l.done); err != nil {
 		t.Error(err)
 	}
-	j, err := openJournal(l.folder, 1<<20)
+	j, err := openJournal(osFiles{}, l.folder, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -531,7 +531,7 @@
 		j := openTest(t, c.State, 1<<20)
 		for i := range many {
 			if _, err := j.take(record{ID: strconv.Itoa(i), Key: "k" + strconv.Itoa(i), Class: classes[i%3], Tenant: "acme",
-				Deadline: newClock().now() + 15*time.Second}); err != nil {
+				Deadline: newClock(time.Now()).now() + 15*time.Second}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -563,7 +563,7 @@
 	p := st.NewPlatform(t, e.Addr)
 	s := newTest(t, p, func(c *Config) {
 		j := openTest(t, c.State, 1<<20)
-		if _, err := j.take(record{ID: "m", Class: "unsafe", Tenant: "acme", Deadline: newClock().now() + time.Minute}); err != nil {
+		if _, err := j.take(record{ID: "m", Class: "unsafe", Tenant: "acme", Deadline: newClock(time.Now()).now() + time.Minute}); err != nil {
 			t.Fatal(err)
 		}
 		if err := j.close(); err != nil {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -63,6 +63,7 @@
 
 // Sender is one real sender.
 type Sender struct {
+	env     Environment
 	c       *Config
 	log     *slog.Logger
 	clock   clock
@@ -116,14 +117,18 @@
 )
 
 // New opens the journal, unless another process holds it; Run does the rest.
-func New(c *Config, log *slog.Logger) (*Sender, error) {
-	s := &Sender{c: c, folder: c.State, log: log, clock: newClock(), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
+func New(c *Config, log *slog.Logger) (*Sender, error) { return NewIn(OperatingSystem(), c, log) }
+
+// NewIn is New in an environment other than the operating system's.
+func NewIn(env Environment, c *Config, log *slog.Logger) (*Sender, error) {
+	s := &Sender{env: env, c: c, folder: c.State, log: log, clock: newClock(env.Wall()), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery, c.Settings.Senders), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	s.pool.forwarded = s.figures.forwarded
 	s.guard = newGuard(log, s.figures)
 	s.pool.guard = s.guard
+	s.pool.dialer.Control = env.Control
 	s.disc.asks = c.Settings.AsksForList
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	s.server.guard = s.guard
@@ -139,7 +144,7 @@
 }
 
 func (s *Sender) openJournal() error {
-	j, err := openJournal(s.c.State, int64(s.c.Limits.DiskMB*1e6*journalPart))
+	j, err := openJournal(s.env.Files, s.c.State, int64(s.c.Limits.DiskMB*1e6*journalPart))
 	if err != nil {
 		return err
 	}
@@ -205,6 +210,9 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		if s.env.WrapListener != nil {
+			l = s.env.WrapListener(l)
+		}
 		d := s.server.listenOn(l)
 		go func() { served <- s.server.serve(d) }()
 		s.server.closing.Store(false)
@@ -694,7 +702,7 @@
 // Reload reads the configuration again and takes from it what may change in service: the platform's address and
 // the settings. A file that cannot be used changes nothing.
 func (s *Sender) Reload(ctx context.Context, getenv func(string) string) error {
-	c, err := s.server.conf.Load().reload(getenv)
+	c, err := s.server.conf.Load().reload(s.env, getenv)
 	if err != nil {
 		s.figures.reloaded(false)
 		return err
--- /dev/null
+++ b/internal/sender/process.go
@@ -0,0 +1,72 @@
+package sender
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+)
+
+// memoryPart of the machine's memory is what the collector aims to stay under; the journal's pages and
+// the kernel's buffers count as well.
+const memoryPart = 0.6
+
+// RunProcess is a sender as a process of its own: it reads its configuration, listens, and serves until SIGTERM. SIGHUP
+// makes it read the configuration again.
+func RunProcess(env Environment, log *slog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hup := make(chan os.Signal, 1) // from the first: unheeded it would end the process
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	c, err := LoadConfig(env, os.Getenv)
+	if err != nil {
+		return err
+	}
+	if c.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	}
+	if c.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.Limits.MemoryMB * 1e6 * memoryPart))
+	}
+	listen, err := c.Listener()
+	if err != nil {
+		return err
+	}
+	s, err := NewIn(env, c, log)
+	if err != nil {
+		return err
+	}
+	serving, ended := context.WithCancel(context.Background()) // for longer than ctx: also while it leaves
+	defer ended()
+	go s.reloadOn(serving, hup)
+	return s.Run(ctx, listen)
+}
+
+// reloadOn takes a new configuration at each signal.
+func (s *Sender) reloadOn(ctx context.Context, hup <-chan os.Signal) {
+	for {
+		select {
+		case <-hup:
+			if err := s.Reload(ctx, os.Getenv); err != nil {
+				s.log.Error("reload: going on as before", "err", err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// NewLogger writes to standard error from the level that EDGE_LOG_LEVEL names, else from info. At debug each message is
+// followed by its id.
+func NewLogger() *slog.Logger {
+	var level slog.Level
+	if level.UnmarshalText([]byte(os.Getenv("EDGE_LOG_LEVEL"))) != nil {
+		level = slog.LevelInfo
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
--- a/internal/sender/reload_test.go
+++ b/internal/sender/reload_test.go
@@ -28,7 +28,7 @@
 		edit(r.text)
 	}
 	r.write(t, r.text)
-	c, err := LoadConfig(r.getenv)
+	c, err := LoadConfig(OperatingSystem(), r.getenv)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/scale_test.go
+++ b/internal/sender/scale_test.go
@@ -139,25 +139,25 @@
 			getenv := func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] }
 			fits := func(c *Config) {
 				t.Helper()
-				clients, callers := newServer(c, newClock(), slog.New(slog.DiscardHandler), nil).most, newAdmin(nil, sockets, nil, nil).most
+				clients, callers := newServer(c, newClock(time.Now()), slog.New(slog.DiscardHandler), nil).most, newAdmin(nil, sockets, nil, nil).most
 				idle := int(newPool(c).most.Load())
 				if sum := clients + callers + idle + c.Settings.Slots + spareDescriptors; sum > sockets || c.Settings.Slots < 3 || clients < sockets/3 {
 					t.Errorf("of %d: %d clients, %d operators, %d calls, %d idle", sockets, clients, callers, c.Settings.Slots, idle)
 				}
 			}
 			write(3)
-			first, err := LoadConfig(getenv)
+			first, err := LoadConfig(OperatingSystem(), getenv)
 			if err != nil {
 				t.Fatal(err)
 			}
 			fits(first)
 			write(slots)
-			next, err := first.reload(getenv)
+			next, err := first.reload(OperatingSystem(), getenv)
 			if err != nil {
 				t.Fatal(err)
 			}
 			fits(next)
-			if next, err = LoadConfig(getenv); err != nil {
+			if next, err = LoadConfig(OperatingSystem(), getenv); err != nil {
 				t.Fatal(err)
 			}
 			fits(next)
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -270,7 +270,7 @@
 // and nobody whose request is being answered.
 func TestHeldConnectionsMakeRoom(t *testing.T) {
 	t.Parallel()
-	s := newServer(&Config{Limits: Limits{Sockets: 6}}, newClock(), slog.New(slog.DiscardHandler), nil)
+	s := newServer(&Config{Limits: Limits{Sockets: 6}}, newClock(time.Now()), slog.New(slog.DiscardHandler), nil)
 	conns := map[string]*clientConn{}
 	open := func(name string) {
 		conns[name] = visitor(t)
@@ -302,7 +302,7 @@
 // that has been read whole, nor a client's further one, nor one that has only just begun to come.
 func TestHalfSpokenPeersMakeRoom(t *testing.T) {
 	t.Parallel()
-	s := newServer(&Config{Limits: Limits{Sockets: 8}}, newClock(), slog.New(slog.DiscardHandler), nil)
+	s := newServer(&Config{Limits: Limits{Sockets: 8}}, newClock(time.Now()), slog.New(slog.DiscardHandler), nil)
 	conns := map[string]*clientConn{}
 	for _, name := range []string{"client", "whole", "half"} {
 		conns[name] = visitor(t)
@@ -334,7 +334,7 @@
 // however long the answer takes.
 func TestARequestReadWholeAsItMakesRoomIsAnswered(t *testing.T) {
 	t.Parallel()
-	s := newServer(&Config{Limits: Limits{Sockets: 4}}, newClock(), slog.New(slog.DiscardHandler), nil)
+	s := newServer(&Config{Limits: Limits{Sockets: 4}}, newClock(time.Now()), slog.New(slog.DiscardHandler), nil)
 	half, other := visitor(t), visitor(t)
 	for _, g := range []*clientConn{half, other} {
 		s.track(g, http.StateNew)
@@ -705,7 +705,7 @@
 	run(t, p, func(c *Config) {
 		c.Known = Targets{Version: 1, Full: true, Servers: []Target{{ID: "s-0", Addr: old.Addr, State: "SERVING", Zone: "a", Kind: "plain"}}}
 		j := openTest(t, c.State, 1<<20)
-		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock().now() + 15*time.Second}); err != nil {
+		if _, err := j.take(record{ID: "m", Class: "keyed", Key: "k", Tenant: "acme", Deadline: newClock(time.Now()).now() + 15*time.Second}); err != nil {
 			t.Fatal(err)
 		}
 		if err := j.close(); err != nil {
