--- /dev/null
+++ b/internal/emulator/discovery.go
@@ -0,0 +1,226 @@
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Server is a line of the endpoint list, in discovery's form.
+type Server struct {
+	ID     string  `json:"id"`
+	Addr   string  `json:"addr"`
+	Zone   string  `json:"zone"`
+	Kind   string  `json:"kind"`
+	Cell   int     `json:"cell"`
+	State  string  `json:"state"`
+	Weight float64 `json:"weight"`
+	Start  int64   `json:"started_ms"`
+}
+
+// List is discovery's answer.
+type List struct {
+	Version int      `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Server `json:"servers"`
+}
+
+// The states of an endpoint in the list.
+const (
+	Serving  = "SERVING"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
+)
+
+// Agent is discovery on one sender's machine. While it is silent it answers no call for the list and learns
+// nothing. It takes notices at any time unless it is told to refuse them.
+type Agent struct {
+	ledger *Ledger
+	sender int
+
+	mu      sync.Mutex
+	servers []Server // in the order first told
+	changed []int    // by place: the version of its last change
+	version int
+	bindsAt time.Duration // what is not told counts as told by then: its watch is broken, or its address has moved
+	wake    chan struct{}
+	silent  bool
+	deaf    bool     // notices get no answer
+	waiting []Server // changes that come while it is silent
+	lost    int      // watches that began before the last of so many losses are never answered
+}
+
+// NewAgent holds a list from the start on.
+func NewAgent(l *Ledger, sender int, servers []Server) *Agent {
+	a := &Agent{ledger: l, sender: sender, version: 1, wake: make(chan struct{})}
+	for _, s := range servers {
+		a.servers, a.changed = append(a.servers, s), append(a.changed, 1)
+	}
+	return a
+}
+
+// Listen serves at an address of its own, beside those that it has.
+func (a *Agent) Listen() (addr string, closeIt func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", a.list)
+	mux.HandleFunc("POST /v1/notices", a.notices)
+	server := &http.Server{Handler: mux}
+	go server.Serve(listener)
+	return listener.Addr().String(), func() { server.Close() }, nil
+}
+
+// Known is the list as it stands.
+func (a *Agent) Known() List {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return List{a.version, true, append([]Server(nil), a.servers...)}
+}
+
+// Change gives the agent a line, at once or when it is no longer silent.
+func (a *Agent) Change(s Server) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.silent {
+		a.waiting = append(a.waiting, s)
+		return
+	}
+	a.apply(s)
+	a.awake()
+}
+
+func (a *Agent) apply(s Server) {
+	a.version++
+	if s.State != Serving {
+		a.ledger.Change(ListChange{a.sender, s.ID, max(a.ledger.Now(), a.bindsAt)})
+	}
+	for i := range a.servers {
+		if a.servers[i].ID == s.ID {
+			a.servers[i], a.changed[i] = s, a.version
+			return
+		}
+	}
+	a.servers, a.changed = append(a.servers, s), append(a.changed, a.version)
+}
+
+func (a *Agent) awake() {
+	close(a.wake)
+	a.wake = make(chan struct{})
+}
+
+// Silence makes the agent say nothing, or lets it speak again with all that it has missed.
+func (a *Agent) Silence(silent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = silent
+	if !silent {
+		for _, s := range a.waiting {
+			a.apply(s)
+		}
+		a.waiting = nil
+		a.awake()
+	}
+}
+
+// Deafen makes notices go unanswered, or lets them be taken again.
+func (a *Agent) Deafen(deaf bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deaf = deaf
+}
+
+// LoseWatches leaves the watches that are out unanswered for good.
+func (a *Agent) LoseWatches() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lost++
+	a.bindsAt = a.ledger.Now() + lostBinds
+	a.awake()
+}
+
+// Move closes the books on the old address: what changes soon after is told by the new one.
+func (a *Agent) Move() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bindsAt = max(a.bindsAt, a.ledger.Now()+movedBinds)
+}
+
+// What is missed counts as told so long after a watch has fallen silent, and after a new configuration.
+const (
+	lostBinds  = 6 * time.Second
+	movedBinds = 4 * time.Second
+)
+
+func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	whole := err != nil
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	until := time.NewTimer(time.Duration(min(wait, 60_000)) * time.Millisecond)
+	defer until.Stop()
+	a.mu.Lock()
+	began := a.lost
+	a.mu.Unlock()
+	for over := false; ; {
+		a.mu.Lock()
+		silent, lost, wake := a.silent, a.lost != began, a.wake
+		ready := whole || a.version > after || over
+		answer := List{Version: a.version, Full: whole}
+		for i, s := range a.servers {
+			if whole && s.State != Deleted || !whole && a.changed[i] > after {
+				answer.Servers = append(answer.Servers, s)
+			}
+		}
+		a.mu.Unlock()
+		switch {
+		case lost:
+			<-r.Context().Done()
+			return
+		case ready && !silent:
+			if answer.Servers == nil {
+				answer.Servers = []Server{}
+			}
+			json.NewEncoder(w).Encode(answer)
+			return
+		}
+		select {
+		case <-wake:
+		case <-until.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) notices(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	deaf := a.deaf
+	a.mu.Unlock()
+	if deaf {
+		<-r.Context().Done()
+		return
+	}
+	for lines := json.NewDecoder(r.Body); ; {
+		var n struct {
+			Message string `json:"message"`
+			Outcome string `json:"outcome"`
+		}
+		err := lines.Decode(&n)
+		if err == io.EOF {
+			break
+		}
+		if err != nil || n.Message == "" || n.Outcome == "" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		a.ledger.Tell(Notice{ID: n.Message, Outcome: n.Outcome, Sender: a.sender})
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/emulator/invariants.go
@@ -0,0 +1,378 @@
+package emulator
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Violation is one breach of an invariant.
+type Violation struct {
+	Rule   string
+	At     time.Duration
+	Detail string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%8.3fs %-10s %s", v.At.Seconds(), v.Rule, v.Detail)
+}
+
+// Outage is a span in which all endpoints of a destination were down, hung, shut or failing.
+type Outage struct {
+	Destination int
+	From, Until time.Duration
+}
+
+// Facts is what a run's plan adds to its ledger.
+type Facts struct {
+	Rules     Rules
+	Tolerance time.Duration // for the machine's own delays
+	Outages   []Outage
+	Capacity  []float64 // calls a second that each destination can do when warm
+	End       time.Duration
+}
+
+const (
+	noticeAfter = 300 * time.Millisecond  // after its time is up a message has to have its end
+	restartFree = 1500 * time.Millisecond // after ready no notice is overdue
+	waitPasses  = 100 * time.Millisecond  // calls that arrive so soon after a told wait pass
+	sameTime    = 50 * time.Millisecond   // an abandoned call's connection may be seen to end so late
+)
+
+// Check judges a run by all invariants.
+func Check(l *Ledger, f Facts) []Violation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Violation
+	for _, check := range []func(*Ledger, Facts) []Violation{checkLost, checkUnanswered, checkRepeats, checkConcurrent,
+		checkRefused, checkDrains, checkWaits, checkSlowStart, checkBadPeers, checkLives, checkListening, checkDestinations} {
+		all = append(all, check(l, f)...)
+	}
+	slices.SortStableFunc(all, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
+// attemptsBy groups the attempts in order of arrival.
+func (l *Ledger) attemptsBy(key func(*Attempt) string) map[string][]*Attempt {
+	groups := map[string][]*Attempt{}
+	for _, a := range l.attempts {
+		groups[key(a)] = append(groups[key(a)], a)
+	}
+	return groups
+}
+
+// keyOf is the key of the message that an attempt is for; a message keeps it when it is handed in again.
+func (l *Ledger) keyOf(a *Attempt) string {
+	if s := l.submissions[a.ID]; s != nil {
+		return s.Key
+	}
+	return a.ID
+}
+
+// down is a span in which a sender was restarting, up to restartFree after it was ready again.
+type down struct{ from, until time.Duration }
+
+func (l *Ledger) downs(sender int) []down {
+	var downs []down
+	for _, e := range l.lives {
+		if e.Sender != sender {
+			continue
+		}
+		switch e.Event {
+		case Terminated, Killed:
+			if n := len(downs); n == 0 || downs[n-1].until != math.MaxInt64 {
+				downs = append(downs, down{e.At, math.MaxInt64})
+			}
+		case Ready:
+			if n := len(downs); n > 0 && downs[n-1].until == math.MaxInt64 {
+				downs[n-1].until = e.At + restartFree
+			}
+		}
+	}
+	return downs
+}
+
+// checkLost: what was taken on is delivered, or ended by a notice in time.
+func checkLost(l *Ledger, f Facts) []Violation {
+	ended := map[string]time.Duration{}
+	note := func(id string, at time.Duration) {
+		if before, known := ended[id]; !known || at < before {
+			ended[id] = at
+		}
+	}
+	for _, n := range l.notices {
+		note(n.ID, n.At)
+	}
+	for _, a := range l.attempts {
+		if a.Status == 200 {
+			note(a.ID, a.EndedAt)
+		}
+	}
+	var found []Violation
+	for id, s := range l.submissions {
+		if s.Status != 200 && s.Status != 202 {
+			continue
+		}
+		due := s.SentAt + s.Deadline + noticeAfter + f.Rules.Slack
+		for _, d := range l.downs(s.Sender) {
+			if due >= d.from && due < d.until {
+				due = d.until
+			}
+		}
+		if due > f.End-f.Tolerance { // the run is over, or the sender never came back, which counts by itself
+			continue
+		}
+		at, known := ended[id]
+		switch {
+		case !known:
+			found = append(found, Violation{"lost", due, fmt.Sprintf("%s (%s, sender %d) was taken on and never ended", id, s.Effect, s.Sender)})
+		case at > due+f.Tolerance:
+			found = append(found, Violation{"lost", due, fmt.Sprintf("%s (%s, sender %d) was ended %v late", id, s.Effect, s.Sender, at-due)})
+		}
+	}
+	return found
+}
+
+// running reports whether a sender was ready and not told to end at a time.
+func (l *Ledger) running(sender int, at time.Duration) bool {
+	up := false
+	for _, e := range l.lives {
+		if e.Sender != sender || e.At > at+sameTime {
+			continue
+		}
+		switch e.Event {
+		case Ready:
+			up = e.At <= at
+		case Terminated, Killed, Exited:
+			up = false
+		}
+	}
+	return up
+}
+
+// checkUnanswered: a request that has been written on a fresh connection is answered while the sender runs.
+func checkUnanswered(l *Ledger, f Facts) []Violation {
+	var found []Violation
+	for id, s := range l.submissions {
+		if s.Closed && l.running(s.Sender, s.ClosedAt) {
+			found = append(found, Violation{"unanswered", s.ClosedAt, fmt.Sprintf("%s: sender %d closed a fresh connection: %s, written at %.3fs", id, s.Sender, s.CloseError, s.SentAt.Seconds())})
+		}
+	}
+	return found
+}
+
+// checkRepeats: no message runs again where its class, or the window of its key, forbids it.
+func checkRepeats(l *Ledger, f Facts) []Violation {
+	var found []Violation
+	for key, attempts := range l.attemptsBy(l.keyOf) {
+		s := l.submissions[attempts[0].ID]
+		if s == nil || s.Effect == Safe {
+			continue
+		}
+		var first *Attempt
+		for _, a := range attempts {
+			switch {
+			case first != nil && s.Effect == Unsafe:
+				found = append(found, Violation{"duplicate", a.At, fmt.Sprintf("%s may not be repeated: at %s %.3fs after %s", key, a.Endpoint, (a.At - first.At).Seconds(), first.Endpoint)})
+			case first != nil && a.At-first.At > f.Rules.KeyWindow+f.Rules.Slack:
+				found = append(found, Violation{"duplicate", a.At, fmt.Sprintf("%s repeated %.3fs after its first call, window %v", key, (a.At - first.At).Seconds(), f.Rules.KeyWindow)})
+			}
+			if first == nil && a.mayHaveRun() {
+				first = a
+			}
+		}
+	}
+	return found
+}
+
+// checkConcurrent: no two calls for one message are out on open connections.
+func checkConcurrent(l *Ledger, f Facts) []Violation {
+	var found []Violation
+	for id, attempts := range l.attemptsBy(func(a *Attempt) string { return a.ID }) {
+		for i, a := range attempts {
+			for _, earlier := range attempts[:i] {
+				if earlier.EndedAt == 0 || earlier.EndedAt > a.At+sameTime+f.Tolerance {
+					found = append(found, Violation{"concurrent", a.At, fmt.Sprintf("%s at %s while a call of %.3fs at %s was out", id, a.Endpoint, earlier.At.Seconds(), earlier.Endpoint)})
+				}
+			}
+		}
+	}
+	return found
+}
+
+// checkRefused: what was refused, or handed back, has not run and does not run.
+func checkRefused(l *Ledger, _ Facts) []Violation {
+	back := map[string]bool{}
+	for _, n := range l.notices {
+		if n.Outcome == "handed_back" {
+			back[n.ID] = true
+		}
+	}
+	var found []Violation
+	for _, a := range l.attempts {
+		s := l.submissions[a.ID]
+		if s != nil && a.mayHaveRun() && (s.Status == 503 || s.Status == 429 || back[a.ID]) {
+			found = append(found, Violation{"refused", a.At, fmt.Sprintf("%s (%s) was refused by sender %d (status %d, handed back: %v) and is sent", a.ID, s.Effect, a.Sender, s.Status, back[a.ID])})
+		}
+	}
+	return found
+}
+
+// checkDrains: no call to an endpoint later than its grace after the sender was told.
+func checkDrains(l *Ledger, f Facts) []Violation {
+	type place struct {
+		sender   int
+		endpoint string
+	}
+	told := map[place]time.Duration{}
+	for _, c := range l.changes {
+		if at, known := told[place{c.Sender, c.Endpoint}]; !known || c.ToldAt < at {
+			told[place{c.Sender, c.Endpoint}] = c.ToldAt
+		}
+	}
+	var found []Violation
+	for _, a := range l.attempts {
+		at, known := told[place{a.Sender, a.Endpoint}]
+		if late := a.At - at - f.Rules.DrainGrace - f.Rules.Slack; known && late > f.Tolerance {
+			found = append(found, Violation{"drain", a.At, fmt.Sprintf("%s: sender %d calls %s %.3fs after it was told", a.ID, a.Sender, a.Endpoint, (a.At - at).Seconds())})
+		}
+	}
+	return found
+}
+
+// checkWaits: no call to a destination while a wait that it told the sender lasts. A restart ends the wait.
+func checkWaits(l *Ledger, f Facts) []Violation {
+	var found []Violation
+	for _, told := range l.attempts {
+		if told.Wait == 0 {
+			continue
+		}
+		for _, a := range l.attempts {
+			after := a.At - told.EndedAt
+			if a.Sender != told.Sender || a.Destination != told.Destination || after <= waitPasses+f.Tolerance || after >= told.Wait {
+				continue
+			}
+			restarted := slices.ContainsFunc(l.lives, func(e Life) bool {
+				return e.Sender == a.Sender && e.Event == Started && e.At > told.EndedAt && e.At < a.At
+			})
+			if !restarted {
+				found = append(found, Violation{"wait", a.At, fmt.Sprintf("%s: sender %d calls destination %d %.3fs into a wait of %v", a.ID, a.Sender, a.Destination, after.Seconds(), told.Wait)})
+			}
+		}
+	}
+	return found
+}
+
+// checkSlowStart: a destination that returns from an outage does not get more calls than it bears, if over two thirds
+// of them are from senders that had seen one fail.
+func checkSlowStart(l *Ledger, f Facts) []Violation {
+	var found []Violation
+	for _, o := range f.Outages {
+		aware := map[int]bool{}
+		type arrival struct {
+			at     time.Duration
+			sender int
+		}
+		var calls []arrival
+		seen := map[string]bool{}
+		for _, a := range l.attempts {
+			call := fmt.Sprint(a.Endpoint, a.Call)
+			if a.Destination != o.Destination || seen[call] {
+				continue
+			}
+			seen[call] = true
+			if a.At >= o.From && a.At < o.Until && a.Status != 200 {
+				aware[a.Sender] = true
+			}
+			if a.At >= o.Until && a.At < o.Until+f.Rules.Cold {
+				calls = append(calls, arrival{a.At, a.Sender})
+			}
+		}
+		sort.Slice(calls, func(i, j int) bool { return calls[i].at < calls[j].at })
+		for first := range calls {
+			number, ours := 0, 0
+			end := calls[first].at + f.Rules.OverloadFor
+			for _, c := range calls[first:] {
+				if c.at > end {
+					break
+				}
+				number++
+				if aware[c.sender] {
+					ours++
+				}
+			}
+			if allowed := f.allowed(o, end); float64(number) > allowed && 3*ours > 2*number {
+				found = append(found, Violation{"slow start", calls[first].at, fmt.Sprintf("destination %d gets %d calls in %v from %.3fs after its return, %d of them from senders that knew; it bears %.1f",
+					o.Destination, number, f.Rules.OverloadFor, (calls[first].at - o.Until).Seconds(), ours, allowed)})
+				break
+			}
+		}
+	}
+	return found
+}
+
+// allowed is how many calls a destination bears in the span that ends at a time after its outage.
+func (f Facts) allowed(o Outage, end time.Duration) float64 {
+	warm := min(1, (end-o.Until).Seconds()/f.Rules.Cold.Seconds())
+	share := f.Rules.StartCapacity + (1-f.Rules.StartCapacity)*warm
+	n := f.Rules.FallMultiple * share * f.Capacity[o.Destination] * f.Rules.OverloadFor.Seconds()
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// checkBadPeers: whoever sends no request gets an error or a close in time while the sender runs.
+func checkBadPeers(l *Ledger, f Facts) []Violation {
+	var found []Violation
+	for _, p := range l.badPeers {
+		late := p.LeftAt == 0 || p.LeftAt-p.OpenedAt > badPeerTime+f.Rules.Slack+f.Tolerance
+		if late && l.running(p.Sender, p.OpenedAt) && l.running(p.Sender, p.OpenedAt+badPeerTime) {
+			found = append(found, Violation{"bad peer", p.OpenedAt, fmt.Sprintf("sender %d keeps a peer (%s) for %v", p.Sender, p.Kind, p.LeftAt-p.OpenedAt)})
+		}
+	}
+	return found
+}
+
+// checkLives: no process ends unasked, and each is ready in time.
+func checkLives(l *Ledger, _ Facts) []Violation {
+	var found []Violation
+	started := map[int]time.Duration{}
+	for _, e := range l.lives {
+		switch {
+		case e.Event == Exited && e.Detail != "":
+			found = append(found, Violation{"crash", e.At, fmt.Sprintf("sender %d: %s", e.Sender, e.Detail)})
+		case e.Event == Started:
+			started[e.Sender] = e.At
+		case e.Event == Ready && e.At-started[e.Sender] > readyWithin:
+			found = append(found, Violation{"ready", e.At, fmt.Sprintf("sender %d was ready after %v", e.Sender, e.At-started[e.Sender])})
+		}
+	}
+	return found
+}
+
+// checkListening: a sender that runs takes connections.
+func checkListening(l *Ledger, _ Facts) []Violation {
+	var found []Violation
+	for _, r := range l.refusals {
+		if l.running(r.Sender, r.At) {
+			found = append(found, Violation{"listening", r.At, fmt.Sprintf("sender %d runs and takes no connection", r.Sender)})
+		}
+	}
+	return found
+}
+
+// checkDestinations: a message goes to its destination only, and nothing is sent that nobody handed in.
+func checkDestinations(l *Ledger, _ Facts) []Violation {
+	var found []Violation
+	for _, a := range l.attempts {
+		s := l.submissions[a.ID]
+		if s == nil || s.Destination != a.Destination {
+			found = append(found, Violation{"destination", a.At, fmt.Sprintf("%s came to destination %d", a.ID, a.Destination)})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/emulator/ledger.go
@@ -0,0 +1,214 @@
+package emulator
+
+import (
+	"sync"
+	"time"
+)
+
+// Effect is what a repeat of a message does.
+type Effect int
+
+// The effects of the classes that the emulator uses.
+const (
+	Safe Effect = iota
+	Keyed
+	Unsafe
+)
+
+var effectNames = [...]string{Safe: "safe", Keyed: "keyed", Unsafe: "unsafe"}
+
+func (e Effect) String() string { return effectNames[e] }
+
+// Submission is one occasion on which a client hands in a message. Times are counted from the run's start.
+type Submission struct {
+	ID          string
+	Key         string // of the message: it stays when the message is handed in again
+	Effect      Effect
+	Destination int
+	Sender      int
+	SentAt      time.Duration // its last byte was written
+	Deadline    time.Duration // until when it may be delivered
+	Status      int           // of the answer, 0 for none
+	AnsweredAt  time.Duration
+	Closed      bool // its connection, a fresh one, ended without an answer while the client still waited
+	ClosedAt    time.Duration
+	CloseError  string
+}
+
+// Attempt is one call for one message as an endpoint got it.
+type Attempt struct {
+	ID          string
+	Endpoint    string
+	Destination int
+	Sender      int
+	Call        uint64        // at this endpoint; attempts that travel together share it
+	At          time.Duration // its last byte arrived
+	EndedAt     time.Duration // it was answered or its connection ended; 0 while it is out
+	Status      int           // of the answer, 0 for none
+	MayRun      bool          // the endpoint did the work, or may have
+	Wait        time.Duration // told with the answer
+}
+
+// mayHaveRun reports whether the endpoint did the work of a call, or may have, or may yet.
+func (a *Attempt) mayHaveRun() bool { return a.MayRun || a.EndedAt == 0 }
+
+// Notice is what the platform was told of a message.
+type Notice struct {
+	ID      string
+	Outcome string
+	Sender  int
+	At      time.Duration
+}
+
+// LifeEvent is a step in the life of a sender's process.
+type LifeEvent string
+
+// The steps of a process.
+const (
+	Started    LifeEvent = "started"
+	Ready      LifeEvent = "ready"
+	Terminated LifeEvent = "terminated" // SIGTERM was sent
+	Killed     LifeEvent = "killed"     // SIGKILL was sent
+	Exited     LifeEvent = "exited"
+)
+
+// Life is one step of one sender.
+type Life struct {
+	Sender int
+	Event  LifeEvent
+	At     time.Duration
+	Detail string
+}
+
+// ListChange is when a sender was told that an endpoint takes nothing new any more.
+type ListChange struct {
+	Sender   int
+	Endpoint string
+	ToldAt   time.Duration
+}
+
+// BadPeer is a peer that sent something that is no request.
+type BadPeer struct {
+	Sender   int
+	Kind     string
+	OpenedAt time.Duration
+	LeftAt   time.Duration // it got an error or its connection was closed; 0 for neither
+}
+
+// Refusal is a connection that a sender did not take.
+type Refusal struct {
+	Sender int
+	At     time.Duration
+}
+
+// Ledger is everything that the stand-ins saw in a run. It is safe for concurrent use.
+type Ledger struct {
+	start time.Time
+
+	mu          sync.Mutex
+	submissions map[string]*Submission
+	attempts    []*Attempt
+	notices     []Notice
+	lives       []Life
+	changes     []ListChange
+	badPeers    []BadPeer
+	refusals    []Refusal
+	counters    map[string]int // of the senders' own figures, summed over all processes at their end
+}
+
+// NewLedger begins a run.
+func NewLedger() *Ledger {
+	return &Ledger{start: time.Now(), submissions: map[string]*Submission{}, counters: map[string]int{}}
+}
+
+// Now is the time since the run's start.
+func (l *Ledger) Now() time.Duration { return time.Since(l.start) }
+
+// Submit books a request that has been written whole.
+func (l *Ledger) Submit(s Submission) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.submissions[s.ID]; known != nil {
+		return // written once more on a new connection, as the first one had ended
+	}
+	l.submissions[s.ID] = &s
+}
+
+// Answer books how a request was answered.
+func (l *Ledger) Answer(id string, status int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.submissions[id]; s != nil {
+		s.Status, s.AnsweredAt = status, l.Now()
+	}
+}
+
+// Close books that a fresh connection ended without an answer to its first request.
+func (l *Ledger) Close(id string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.submissions[id]; s != nil {
+		s.Closed, s.ClosedAt, s.CloseError = true, l.Now(), err.Error()
+	}
+}
+
+// Begin books a call's arrival.
+func (l *Ledger) Begin(a Attempt) *Attempt {
+	a.At = l.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts = append(l.attempts, &a)
+	return &a
+}
+
+// End books how a call ended; status 0 stands for a connection that ended.
+func (l *Ledger) End(a *Attempt, status int, mayRun bool, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.EndedAt == 0 {
+		a.EndedAt, a.Status, a.MayRun, a.Wait = l.Now(), status, mayRun, wait
+	}
+}
+
+// Tell books a notice.
+func (l *Ledger) Tell(n Notice) {
+	n.At = l.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notices = append(l.notices, n)
+}
+
+// Live books a step of a process.
+func (l *Ledger) Live(sender int, event LifeEvent, detail string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lives = append(l.lives, Life{sender, event, l.Now(), detail})
+}
+
+// Change books that an endpoint drains or is gone, as told to a sender.
+func (l *Ledger) Change(c ListChange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, c)
+}
+
+// Peer books how a bad peer fared.
+func (l *Ledger) Peer(p BadPeer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.badPeers = append(l.badPeers, p)
+}
+
+// Refuse books a connection that a sender did not take.
+func (l *Ledger) Refuse(sender int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals = append(l.refusals, Refusal{sender, l.Now()})
+}
+
+// Count adds to the sum of a figure that a sender reports.
+func (l *Ledger) Count(name string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counters[name] += n
+}
--- /dev/null
+++ b/internal/emulator/proxy.go
@@ -0,0 +1,192 @@
+package emulator
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// LinkFault is what a proxy does to the connections that pass it.
+type LinkFault int
+
+// The faults of a link.
+const (
+	LinkWell    LinkFault = iota
+	LinkLate              // a new connection relays nothing for lateFor
+	LinkCut               // nothing passes; what is open is reset when the cut ends
+	LinkResets            // connections are reset some time after bytes have passed towards the endpoint
+	LinkChopped           // answers and requests pass a few bytes at a time
+)
+
+const (
+	lateFor    = 700 * time.Millisecond
+	resetAfter = 30 * time.Millisecond
+	chopSize   = 24
+	chopPause  = time.Millisecond
+	cutLook    = 10 * time.Millisecond
+)
+
+// Proxy relays connections from one sender to one endpoint, or from clients to one sender.
+type Proxy struct {
+	Addr string
+
+	preface string // written first to the far side
+	target  func() string
+	fault   func() LinkFault
+	refused func() // the target takes no connection; nil if nobody asks
+
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	closed   bool
+}
+
+// NewProxy listens on a port of its own. fault is asked at each connection and chunk of bytes; refused, if there is one,
+// is called when the target takes no connection.
+func NewProxy(target func() string, preface string, fault func() LinkFault, refused func()) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{Addr: l.Addr().String(), preface: preface, target: target, fault: fault, refused: refused, listener: l, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Close ends the listener and all connections.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for c := range p.conns {
+		c.Close()
+	}
+}
+
+func (p *Proxy) track(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.Close()
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *Proxy) forget(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.relay(c)
+	}
+}
+
+// relay joins a connection with one to the target. The end of either side passes on to the other, a reset as a reset.
+func (p *Proxy) relay(near net.Conn) {
+	defer near.Close()
+	if !p.track(near) {
+		return
+	}
+	defer p.forget(near)
+	switch p.fault() {
+	case LinkLate:
+		time.Sleep(lateFor)
+	case LinkCut:
+		p.waitOutCut()
+		reset(near)
+		return
+	}
+	far, err := net.DialTimeout("tcp", p.target(), time.Second)
+	if err != nil {
+		if p.refused != nil {
+			p.refused()
+		}
+		reset(near)
+		return
+	}
+	defer far.Close()
+	if !p.track(far) {
+		return
+	}
+	defer p.forget(far)
+	if _, err := io.WriteString(far, p.preface); err != nil {
+		return
+	}
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); p.copy(far, near, true) }()
+	go func() { defer both.Done(); p.copy(near, far, false) }()
+	both.Wait()
+}
+
+func (p *Proxy) waitOutCut() {
+	for p.fault() == LinkCut {
+		time.Sleep(cutLook)
+	}
+}
+
+// copy passes bytes on until an end. outward is the direction from the near side to the target.
+func (p *Proxy) copy(to, from net.Conn, outward bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		fault := p.fault()
+		if fault == LinkCut {
+			p.waitOutCut()
+			reset(to)
+			reset(from)
+			return
+		}
+		size := max(1, n)
+		if fault == LinkChopped {
+			size = chopSize
+		}
+		for rest := buffer[:n]; len(rest) > 0; {
+			part := rest[:min(size, len(rest))]
+			if _, err := to.Write(part); err != nil {
+				reset(from)
+				return
+			}
+			if rest = rest[len(part):]; len(rest) > 0 {
+				time.Sleep(chopPause)
+			}
+		}
+		if fault == LinkResets && outward && n > 0 {
+			time.Sleep(resetAfter)
+			reset(to)
+			reset(from)
+			return
+		}
+		if err == io.EOF {
+			to.(*net.TCPConn).CloseWrite()
+			return
+		}
+		if err != nil {
+			reset(to)
+			return
+		}
+	}
+}
+
+// reset ends a connection so that the other side sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// prefaceOf tells an endpoint which sender a relayed connection is from.
+func prefaceOf(sender int) string { return fmt.Sprintf("sender %d\n", sender) }
--- /dev/null
+++ b/internal/emulator/run.go
@@ -0,0 +1,511 @@
+// Package emulator plays what a deployment of senders meets: discovery, endpoints, networks, clients and the
+// machine itself, with troubles that overlap in time. The senders are real processes on loopback addresses. What
+// the stand-ins see is kept in a ledger and judged by invariants, those of the protocol. A run's plan follows from
+// its seed alone; how the processes interleave does not.
+package emulator
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Options is what a run is made of.
+type Options struct {
+	Seed         uint64
+	Senders      int
+	Destinations int
+	Rate         float64       // messages a second that a sender gets in the mean
+	Load         time.Duration // messages are handed in for so long
+	Troubles     []TroubleKind // to draw from
+	Plan         []Trouble     // in place of a drawn one
+	Folder       string        // for states, configurations and logs
+	Command      Command       // starts a sender that calls RunSender
+	Tolerance    time.Duration // for the machine's own delays
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Plan       []Trouble
+	Violations []Violation
+	Counts     map[string]int
+	Latency    *hdrhistogram.Histogram // ms from handing in to delivery
+}
+
+const (
+	endpointsEach = 2
+	capacityBy    = 2.0 // a destination's capacity over its mean traffic
+	afterLoad     = 8 * time.Second
+	goneAfter     = 1500 * time.Millisecond // from draining to gone
+	oldAgentEnds  = 1500 * time.Millisecond // after a move
+	sharesEach    = 3                       // every such destination takes several messages in one call
+	latencyMost   = 60_000
+)
+
+// run is a run under way.
+type run struct {
+	Options
+	number uint32 // of this program's runs
+	rules  Rules
+	ledger *Ledger
+	plan   []Trouble
+	parts  []float64 // of the traffic, by destination
+
+	agents    []*Agent
+	processes []*Process
+	proxies   []*Proxy // between clients and senders
+	busy      []sync.Mutex
+
+	mu        sync.Mutex
+	endpoints []*Endpoint
+	links     map[string][]*Proxy // by endpoint, one for each sender
+	errors    []string
+	closers   []func()
+}
+
+// Run plays a run and judges it. The error is for what kept it from being played.
+func Run(o Options) (*Report, error) {
+	r := &run{Options: o, number: runs.Add(1), rules: DefaultRules(), ledger: NewLedger(), links: map[string][]*Proxy{}, busy: make([]sync.Mutex, o.Senders)}
+	defer r.close()
+	if r.plan = o.Plan; r.plan == nil {
+		r.plan = drawPlan(o)
+	}
+	if err := r.build(); err != nil {
+		return nil, err
+	}
+	if err := r.startSenders(); err != nil {
+		return nil, err
+	}
+	r.play()
+	return r.report(), nil
+}
+
+// zipf is the part of the traffic that each destination gets.
+func zipf(n int) []float64 {
+	parts, sum := make([]float64, n), 0.0
+	for i := range parts {
+		parts[i] = 1 / float64(i+1)
+		sum += parts[i]
+	}
+	for i := range parts {
+		parts[i] /= sum
+	}
+	return parts
+}
+
+func (r *run) kindOf(destination int) string {
+	if destination%sharesEach == 0 {
+		return "shared"
+	}
+	return "plain"
+}
+
+// build starts the endpoints and, for each sender, its links to them and its agent.
+func (r *run) build() error {
+	r.parts = zipf(r.Destinations)
+	lists := make([][]Server, r.Senders)
+	for d := range r.Destinations {
+		for n := range endpointsEach {
+			servers, err := r.addEndpoint(fmt.Sprintf("e%d-%d", d, n), d)
+			if err != nil {
+				return err
+			}
+			for i := range lists {
+				lists[i] = append(lists[i], servers[i])
+			}
+		}
+	}
+	for i := range r.Senders {
+		agent := NewAgent(r.ledger, i, lists[i])
+		addr, closeIt, err := agent.Listen()
+		if err != nil {
+			return err
+		}
+		r.closers = append(r.closers, closeIt)
+		r.agents = append(r.agents, agent)
+		process := r.newProcess(i, addr, agent)
+		r.processes = append(r.processes, process)
+		proxy, err := NewProxy(func() string { return process.Addr }, "", func() LinkFault { return r.clientFault(i) }, func() { r.ledger.Refuse(i) })
+		if err != nil {
+			return err
+		}
+		r.closers = append(r.closers, proxy.Close)
+		r.proxies = append(r.proxies, proxy)
+	}
+	return nil
+}
+
+// addEndpoint starts an endpoint and gives its line of each sender's list.
+func (r *run) addEndpoint(id string, destination int) ([]Server, error) {
+	e, err := NewEndpoint(r.ledger, id, destination, r.kindOf(destination) == "shared", func() Behaviour { return r.behaviour(destination) })
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endpoints = append(r.endpoints, e)
+	r.closers = append(r.closers, e.Close)
+	var servers []Server
+	for i := range r.Senders {
+		link, err := NewProxy(e.Addr, prefaceOf(i), func() LinkFault { return r.linkFault(i) }, nil)
+		if err != nil {
+			return nil, err
+		}
+		r.closers = append(r.closers, link.Close)
+		r.links[id] = append(r.links[id], link)
+		servers = append(servers, Server{ID: id, Addr: link.Addr, Zone: "a", Kind: r.kindOf(destination), Cell: destination, State: Serving, Weight: 1})
+	}
+	return servers, nil
+}
+
+// runs counts the runs of this program.
+var runs atomic.Uint32
+
+// host is an address for one sender that no other has, of this run or of another one beside it. A sender comes back
+// under its address, so that may not be a port that others are given meanwhile.
+func host(run uint32, sender int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%254, 1+run%254, 1+sender%254)
+}
+
+const (
+	clientPort = "8080"
+	adminPort  = "9090"
+)
+
+func (r *run) newProcess(number int, discovery string, agent *Agent) *Process {
+	at := host(r.number, number)
+	return &Process{Number: number, Addr: net.JoinHostPort(at, clientPort), Admin: net.JoinHostPort(at, adminPort), ledger: r.ledger,
+		command: r.Command, agent: agent, known: agent.Known(), folder: filepath.Join(r.Folder, fmt.Sprintf("n%d", number)), rules: r.rules,
+		senders: r.Senders, discovery: discovery}
+}
+
+// startSenders starts all and gives each its shims: the plan's times count from here on.
+func (r *run) startSenders() error {
+	r.ledger.start = time.Now().Add(time.Second) // the load begins when all are ready
+	zero := monotonicNow() + int64(time.Second)
+	for _, t := range r.plan {
+		kind, ok := shimOf[t.Kind]
+		for _, i := range t.Senders {
+			if ok {
+				r.processes[i].Shims = append(r.processes[i].Shims, Shim{Kind: kind, From: zero + int64(t.From), Until: zero + int64(t.Until), Step: t.Step})
+			}
+		}
+	}
+	errs := make(chan error, r.Senders)
+	for _, p := range r.processes {
+		go func() { errs <- p.Start() }()
+	}
+	var first error
+	for range r.processes {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// behaviour is how the endpoints of a destination behave now.
+func (r *run) behaviour(destination int) Behaviour {
+	now := r.ledger.Now()
+	for _, t := range r.plan {
+		if b, ok := behaviourOf[t.Kind]; ok && t.Destination == destination && t.active(now) {
+			return b
+		}
+	}
+	return Well
+}
+
+// linkFault is what the links of a sender to endpoints do now.
+func (r *run) linkFault(sender int) LinkFault {
+	now := r.ledger.Now()
+	for _, t := range r.plan {
+		if fault, ok := linkFaultOf[t.Kind]; ok && t.active(now) && contains(t.Senders, sender) {
+			return fault
+		}
+	}
+	return LinkWell
+}
+
+// clientFault is what the links of clients to a sender do now.
+func (r *run) clientFault(sender int) LinkFault {
+	now := r.ledger.Now()
+	for _, t := range r.plan {
+		if t.Kind == ClientsChopped && t.active(now) && contains(t.Senders, sender) {
+			return LinkChopped
+		}
+	}
+	return LinkWell
+}
+
+func contains(list []int, x int) bool {
+	for _, y := range list {
+		if y == x {
+			return true
+		}
+	}
+	return false
+}
+
+// play lets the load and the troubles run, and what they leave.
+func (r *run) play() {
+	time.Sleep(-r.ledger.Now())
+	stop := make(chan struct{})
+	var clients, troubles sync.WaitGroup
+	for i := range r.Senders {
+		uneven := 0.5 + float64(i%4)/3 // half to one and a half of the mean
+		c := NewClients(r.ledger, r.rules, i, r.proxies[i].Addr, r.parts, r.Rate*uneven, r.Seed)
+		clients.Add(1)
+		go func() { defer clients.Done(); c.Run(stop) }()
+	}
+	for _, t := range r.plan {
+		troubles.Add(1)
+		go func() { defer troubles.Done(); r.strike(t) }()
+	}
+	time.Sleep(r.Load - r.ledger.Now())
+	close(stop)
+	clients.Wait()
+	troubles.Wait()
+	time.Sleep(r.Load + afterLoad - r.ledger.Now())
+}
+
+// strike carries out a trouble that is not simply a state of the stand-ins or a shim.
+func (r *run) strike(t Trouble) {
+	time.Sleep(t.From - r.ledger.Now())
+	rest := func() { time.Sleep(t.Until - r.ledger.Now()) }
+	switch t.Kind {
+	case DiscoverySilent:
+		r.each(t, func(i int) {
+			r.agents[i].Silence(true)
+			rest()
+			r.agents[i].Silence(false)
+		})
+	case WatchesLost:
+		r.each(t, func(i int) { r.agents[i].LoseWatches() })
+	case EndpointsReplaced:
+		r.note(r.replace(t))
+	case SendersTerminated:
+		r.each(t, func(i int) { r.restart(i, r.processes[i].Terminate) })
+	case SendersKilled:
+		r.each(t, func(i int) { r.restart(i, func() error { r.processes[i].Kill(); return nil }) })
+	case SendersReloaded:
+		r.each(t, func(i int) { r.note(r.reload(i)) })
+	case SendersPaused:
+		r.each(t, func(i int) { r.processes[i].Pause(t.Until - t.From) })
+	}
+}
+
+// each does something for all senders that a trouble strikes, side by side.
+func (r *run) each(t Trouble, do func(sender int)) {
+	var all sync.WaitGroup
+	for _, i := range t.Senders {
+		all.Add(1)
+		go func() { defer all.Done(); do(i) }()
+	}
+	all.Wait()
+}
+
+// note keeps an error for the report.
+func (r *run) note(err error) {
+	if err != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.errors = append(r.errors, err.Error())
+	}
+}
+
+// restart ends a sender's process and starts the next one, unless that is under way.
+func (r *run) restart(sender int, end func() error) {
+	if !r.busy[sender].TryLock() {
+		return
+	}
+	defer r.busy[sender].Unlock()
+	r.note(end())
+	time.Sleep(restartRest)
+	r.note(r.processes[sender].Start())
+}
+
+// reload moves a sender's discovery to another address. The old one ends a moment later.
+func (r *run) reload(sender int) error {
+	if !r.busy[sender].TryLock() {
+		return nil
+	}
+	defer r.busy[sender].Unlock()
+	addr, closeIt, err := r.agents[sender].Listen()
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.closers = append(r.closers, closeIt)
+	r.mu.Unlock()
+	r.agents[sender].Move()
+	return r.processes[sender].Reload(addr)
+}
+
+// replace drains the endpoints of a destination one after another and puts new ones in their place.
+func (r *run) replace(t Trouble) error {
+	r.mu.Lock()
+	var old []*Endpoint
+	for _, e := range r.endpoints {
+		if e.Destination == t.Destination && !strings.HasPrefix(e.ID, "gone ") {
+			old = append(old, e)
+		}
+	}
+	r.mu.Unlock()
+	for n, e := range old {
+		servers, err := r.addEndpoint(fmt.Sprintf("e%d-%d-%d", t.Destination, t.From.Milliseconds(), n), t.Destination)
+		if err != nil {
+			return err
+		}
+		for i, a := range r.agents {
+			a.Change(servers[i])
+			a.Change(Server{ID: e.ID, Addr: r.addrOf(e, i), Zone: "a", Kind: r.kindOf(e.Destination), Cell: e.Destination, State: Draining, Weight: 1})
+		}
+	}
+	time.Sleep(goneAfter)
+	for _, e := range old {
+		for i, a := range r.agents {
+			a.Change(Server{ID: e.ID, Addr: r.addrOf(e, i), Zone: "a", Kind: r.kindOf(e.Destination), Cell: e.Destination, State: Deleted, Weight: 1})
+		}
+	}
+	return nil
+}
+
+func (r *run) addrOf(e *Endpoint, sender int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.links[e.ID][sender].Addr
+}
+
+// outages are the spans from which destinations return cold.
+func (r *run) outages() []Outage {
+	var list []Outage
+	for _, t := range r.plan {
+		switch t.Kind {
+		case EndpointsHang, EndpointsFail, EndpointsShut, EndpointsBreak:
+			list = append(list, Outage{t.Destination, t.From, t.Until})
+		}
+	}
+	return list
+}
+
+// report judges the run and ends the senders.
+func (r *run) report() *Report {
+	end := r.ledger.Now()
+	for _, p := range r.processes {
+		figures, err := p.Figures()
+		r.note(err)
+		for name, n := range figures {
+			if strings.HasPrefix(name, "edge_edge.") {
+				r.ledger.Count(strings.TrimPrefix(name, "edge_edge."), n)
+			}
+		}
+	}
+	var all sync.WaitGroup
+	for _, p := range r.processes {
+		all.Add(1)
+		go func() { defer all.Done(); r.note(p.Terminate()) }()
+	}
+	all.Wait()
+	total := r.Rate * float64(r.Senders)
+	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end}
+	for _, part := range r.parts {
+		facts.Capacity = append(facts.Capacity, capacityBy*part*total)
+	}
+	report := &Report{Plan: r.plan, Violations: Check(r.ledger, facts), Latency: hdrhistogram.New(1, latencyMost, 3)}
+	for _, e := range r.errors {
+		report.Violations = append(report.Violations, Violation{"process", end, e})
+	}
+	report.Violations = append(report.Violations, r.guardLines(end)...)
+	report.count(r.ledger)
+	return report
+}
+
+var guardLine = regexp.MustCompile(`msg="rule violated" rule=(\S+)`)
+
+// guardLines is what the senders' own guards have logged, which no stand-in may have seen.
+func (r *run) guardLines(end time.Duration) []Violation {
+	var found []Violation
+	for _, p := range r.processes {
+		log, err := os.Open(filepath.Join(p.folder, "log"))
+		if err != nil {
+			continue
+		}
+		lines := bufio.NewScanner(log)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			if m := guardLine.FindStringSubmatch(lines.Text()); m != nil {
+				found = append(found, Violation{"guard " + m[1], end, fmt.Sprintf("sender %d: %s", p.Number, lines.Text())})
+			}
+		}
+		log.Close()
+	}
+	return found
+}
+
+// count sums up what happened.
+func (report *Report) count(l *Ledger) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := map[string]int{"submissions": len(l.submissions), "calls": len(l.attempts), "notices": len(l.notices), "bad peers": len(l.badPeers)}
+	for _, s := range l.submissions {
+		switch {
+		case s.Status == 200 || s.Status == 202:
+			c["taken on"]++
+		case s.Status == 429 || s.Status == 503:
+			c["refused"]++
+		case s.Status != 0:
+			c["failed"]++
+		case s.Closed:
+			c["closed"]++
+		default:
+			c["unanswered"]++
+		}
+	}
+	delivered := map[string]bool{}
+	for _, a := range l.attempts {
+		if s := l.submissions[a.ID]; a.Status == 200 && s != nil && !delivered[a.ID] {
+			delivered[a.ID] = true
+			report.Latency.RecordValue(min(latencyMost, max(1, (a.EndedAt-s.SentAt).Milliseconds())))
+		}
+	}
+	c["delivered"] = len(delivered)
+	for _, n := range l.notices {
+		c["notice "+n.Outcome]++
+	}
+	for name, n := range l.counters {
+		if strings.HasPrefix(name, "violations.") && n > 0 {
+			c[name] = n
+		}
+	}
+	for _, e := range l.lives {
+		c["process "+string(e.Event)]++
+	}
+	report.Counts = c
+}
+
+// Quantile is a latency that a part of the deliveries did not exceed, in milliseconds.
+func (report *Report) Quantile(part float64) int64 {
+	return report.Latency.ValueAtQuantile(math.Min(100, part*100))
+}
+
+// close ends everything that the run has started.
+func (r *run) close() {
+	for _, p := range r.processes {
+		p.end()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.closers {
+		f()
+	}
+}
--- /dev/null
+++ b/internal/emulator/shim.go
@@ -0,0 +1,197 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dockshift.example/dockshift/internal/sender"
+)
+
+// shimVariable names the environment variable with the shims of a process, as JSON.
+const shimVariable = "SOAK_SHIMS"
+
+// ShimKind is a fault that a sender's process meets in its own system calls.
+type ShimKind string
+
+// The kinds of shims.
+const (
+	ShimWallStep  ShimKind = "wall_step"  // the wall clock is off by Step from then on
+	ShimDiskFull  ShimKind = "disk_full"  // writes to the state folder fail with ENOSPC
+	ShimDiskError ShimKind = "disk_error" // writes to the state folder fail with EIO
+	ShimTornWrite ShimKind = "torn_write" // they are cut in the middle, and fail with ENOSPC
+	ShimAccept    ShimKind = "accept"     // accept fails now and then
+	ShimConnect   ShimKind = "connect"    // sockets cannot be connected
+	ShimRead      ShimKind = "read"       // the configuration and the journal cannot be opened (ENFILE)
+)
+
+// Shim is such a fault in a span of the machine's monotonic clock (ns), so that it means the same to each process.
+type Shim struct {
+	Kind  ShimKind
+	From  int64
+	Until int64         // not used by ShimWallStep
+	Step  time.Duration // of ShimWallStep
+}
+
+// monotonicNow is the machine's monotonic clock.
+func monotonicNow() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(err) // every Linux has it
+	}
+	return t.Nano()
+}
+
+// shims is the schedule of one process.
+type shims []Shim
+
+func (s shims) active(kind ShimKind) bool {
+	now := monotonicNow()
+	for _, f := range s {
+		if f.Kind == kind && f.From <= now && now < f.Until {
+			return true
+		}
+	}
+	return false
+}
+
+func (s shims) wall() time.Time {
+	now, mono := time.Now(), monotonicNow()
+	for _, f := range s {
+		if f.Kind == ShimWallStep && f.From <= mono {
+			now = now.Add(f.Step)
+		}
+	}
+	return now.Round(0) // without Go's monotonic reading
+}
+
+// openError is what opening a file for reading fails with, nil if it does not.
+func (s shims) openError(path string) error {
+	if s.active(ShimRead) {
+		return &os.PathError{Op: "open", Path: path, Err: syscall.ENFILE}
+	}
+	return nil
+}
+
+// writeError is what changes to the state folder fail with, nil if they do not.
+func (s shims) writeError(op, path string) error {
+	var errno error
+	switch {
+	case s.active(ShimDiskFull), s.active(ShimTornWrite):
+		errno = syscall.ENOSPC
+	case s.active(ShimDiskError):
+		errno = syscall.EIO
+	default:
+		return nil
+	}
+	return &os.PathError{Op: op, Path: path, Err: errno}
+}
+
+// shimFiles is the state folder with faults.
+type shimFiles struct {
+	sender.FileSystem
+	shims shims
+}
+
+func (f shimFiles) OpenFile(path string, flag int, mode os.FileMode) (sender.File, error) {
+	err := f.shims.openError(path)
+	if flag&(os.O_WRONLY|os.O_RDWR) != 0 {
+		err = f.shims.writeError("open", path)
+	}
+	if err != nil {
+		return nil, err
+	}
+	file, err := f.FileSystem.OpenFile(path, flag, mode)
+	if err != nil {
+		return nil, err
+	}
+	return shimFile{file, path, f.shims}, nil
+}
+
+func (f shimFiles) Rename(from, to string) error {
+	if err := f.shims.writeError("rename", to); err != nil {
+		return err
+	}
+	return f.FileSystem.Rename(from, to)
+}
+
+type shimFile struct {
+	sender.File
+	path  string
+	shims shims
+}
+
+func (f shimFile) Write(b []byte) (int, error) {
+	err := f.shims.writeError("write", f.path)
+	if err == nil {
+		return f.File.Write(b)
+	}
+	if f.shims.active(ShimTornWrite) {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, err
+	}
+	return 0, err
+}
+
+// acceptErrors are those that accept may fail with for a moment (accept(2)).
+var acceptErrors = []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH}
+
+// connectErrors are those that socket and connect may fail with for a moment.
+var connectErrors = []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ETIMEDOUT}
+
+type shimListener struct {
+	net.Listener
+	shims shims
+	turn  *atomic.Uint32
+}
+
+// Accept fails every second time, by each error in turn.
+func (l shimListener) Accept() (net.Conn, error) {
+	if turn := int(l.turn.Add(1)); turn%2 == 1 && l.shims.active(ShimAccept) {
+		errno := acceptErrors[turn/2%len(acceptErrors)]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", errno)}
+	}
+	return l.Listener.Accept()
+}
+
+// SetDeadline passes on to the listener, which ends its queue by it.
+func (l shimListener) SetDeadline(t time.Time) error {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return d.SetDeadline(t)
+	}
+	return fmt.Errorf("deadline: %w", os.ErrNoDeadline)
+}
+
+// RunSender is a sender's process with the shims that its environment names.
+func RunSender() error {
+	var s shims
+	if text := os.Getenv(shimVariable); text != "" {
+		if err := json.Unmarshal([]byte(text), &s); err != nil {
+			return fmt.Errorf("%s: %w", shimVariable, err)
+		}
+	}
+	env := sender.OperatingSystem()
+	env.Wall = s.wall
+	env.Files = shimFiles{env.Files, s}
+	env.ReadFile = func(path string) ([]byte, error) {
+		if err := s.openError(path); err != nil {
+			return nil, err
+		}
+		return os.ReadFile(path)
+	}
+	env.WrapListener = func(l net.Listener) net.Listener { return shimListener{l, s, new(atomic.Uint32)} }
+	var connects atomic.Uint32
+	env.Control = func(string, string, syscall.RawConn) error {
+		if s.active(ShimConnect) {
+			return os.NewSyscallError("connect", connectErrors[int(connects.Add(1))%len(connectErrors)])
+		}
+		return nil
+	}
+	return sender.RunProcess(env, sender.NewLogger())
+}
--- /dev/null
+++ b/internal/emulator/soak_test.go
@@ -0,0 +1,56 @@
+package emulator
+
+import (
+	"os"
+	"testing"
+	"time"
+)
+
+// senderVariable makes the test's own program one of the senders.
+const senderVariable = "EMULATOR_TEST_SENDER"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(senderVariable) != "" {
+		if err := RunSender(); err != nil {
+			os.Stderr.WriteString(err.Error() + "\n")
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// testRun plays a run of few senders and fails for each violation.
+func testRun(t *testing.T, o Options) *Report {
+	t.Helper()
+	o.Senders, o.Destinations, o.Rate, o.Folder = 8, 5, 8, t.TempDir()
+	o.Command = Command{Path: os.Args[0], Env: []string{senderVariable + "=1", "GORACE=atexit_sleep_ms=0"}}
+	o.Tolerance = 250 * time.Millisecond // beside other tests, and with the race detector
+	report, err := Run(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if t.Failed() {
+		for _, trouble := range report.Plan {
+			t.Log(trouble)
+		}
+	}
+	if report.Counts["delivered"] < report.Counts["submissions"]/4 {
+		t.Errorf("hardly anything is delivered: %v", report.Counts)
+	}
+	return report
+}
+
+// A short soak by a plan in which troubles of all kinds overlap. Longer ones are played by the command soak.
+func TestShortSoak(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{2, 3} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			testRun(t, Options{Seed: seed, Load: 11 * time.Second, Troubles: AllTroubles})
+		})
+	}
+}
