--- /dev/null
+++ b/internal/sender/faults_test.go
@@ -0,0 +1,236 @@
+package sender
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	st "dockshift.example/dockshift/internal/sendertest"
+)
+
+// life is a sender in this process, in an environment that a test spoils.
+type life struct {
+	*Sender
+	addr string
+	stop func()
+}
+
+// live starts a sender in an environment; edit may change its configuration.
+func live(t *testing.T, env Environment, p *st.Platform, edit func(c *Config)) *life {
+	t.Helper()
+	raw, err := json.Marshal(st.Config(p, t.TempDir()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ParseConfig(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if edit != nil {
+		edit(c)
+	}
+	s, err := NewIn(env, c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.grace, s.leaveAfter = 0, 20*time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done, addr := make(chan error, 1), make(chan string, 1)
+	go func() {
+		done <- s.Run(ctx, func() (net.Listener, error) {
+			l, err := net.Listen("tcp", s.c.Listen)
+			if err == nil {
+				addr <- l.Addr().String()
+			}
+			return l, err
+		})
+	}()
+	stopped := false
+	l := &life{Sender: s, stop: func() {
+		if !stopped {
+			stopped = true
+			cancel()
+			if err := st.Receive(t, done); err != nil {
+				t.Error(err)
+			}
+		}
+	}}
+	t.Cleanup(l.stop)
+	l.addr = st.Receive(t, addr)
+	return l
+}
+
+// failingListener fails its first calls of Accept.
+type failingListener struct {
+	net.Listener
+	left  atomic.Int32
+	errno syscall.Errno
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.left.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", l.errno)}
+	}
+	return l.Listener.Accept()
+}
+
+// Whatever accept fails with for a moment, the sender goes on to take clients.
+func TestAcceptFailsForAMoment(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.EPERM, syscall.ETIMEDOUT} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, st.Status(200))
+			env := OperatingSystem()
+			env.WrapListener = func(l net.Listener) net.Listener {
+				failing := &failingListener{Listener: l, errno: errno}
+				failing.left.Store(3)
+				return failing
+			}
+			s := live(t, env, st.NewPlatform(t, e.Addr), nil)
+			client := &http.Client{Timeout: 2 * time.Second}
+			resp, err := client.Do(st.Message(t, s.addr, "m", "safe", 0, 5*time.Second, "body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusAccepted {
+				t.Errorf("%s", resp.Status)
+			}
+		})
+	}
+}
+
+// stepped is the operating system's environment with its wall clock off by a step.
+func stepped(step time.Duration) Environment {
+	env := OperatingSystem()
+	env.Wall = func() time.Time { return time.Now().Round(0).Add(step) }
+	return env
+}
+
+// A wall clock that is stepped while no process runs moves no deadline and no window: both are spans of real time.
+func TestWallClockStepsAcrossARestart(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		step      time.Duration
+		class     string
+		deadline  time.Duration
+		rest      time.Duration // between the processes
+		tried     bool          // by the first, without an answer
+		delivered bool          // by the second; else it is given up
+	}{
+		"back, a deadline that passes":       {step: -time.Hour, class: "safe", deadline: 700 * time.Millisecond, rest: 800 * time.Millisecond},
+		"forward, a deadline far away":       {step: time.Hour, class: "safe", deadline: 15 * time.Second, delivered: true},
+		"back, a key that is forgotten":      {step: -time.Hour, class: "keyed", deadline: 15 * time.Second, rest: 600 * time.Millisecond, tried: true},
+		"a little back, a key forgotten":     {step: -3 * time.Second, class: "keyed", deadline: 15 * time.Second, rest: 600 * time.Millisecond, tried: true},
+		"forward, a key that is remembered":  {step: 3 * time.Second, class: "keyed", deadline: 15 * time.Second, tried: true, delivered: true},
+		"no step, a key that is remembered":  {class: "keyed", deadline: 15 * time.Second, tried: true, delivered: true},
+		"no step, a deadline that is far":    {class: "safe", deadline: 15 * time.Second, delivered: true},
+		"back, a deadline that is some away": {step: -time.Hour, class: "safe", deadline: 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			silent, good := st.NewEndpoint(t, st.Silent), st.NewEndpoint(t, st.Status(200))
+			p := st.NewPlatform(t)
+			if c.tried {
+				p.Change(st.Target("s-0", silent.Addr, 0, "SERVING"))
+			}
+			state := t.TempDir()
+			window := 500 * time.Millisecond
+			if c.delivered {
+				window = 2500 * time.Millisecond
+			}
+			edit := func(conf *Config) { conf.State, conf.Settings.Classes[1].KeyWindow = state, window }
+			first := live(t, OperatingSystem(), p, edit)
+			st.HandIn(t, first.addr, "m", c.class, 0, c.deadline)
+			if c.tried {
+				silent.Next(t)
+			}
+			first.stop()
+			time.Sleep(c.rest)
+			if c.delivered || c.tried {
+				p.Change(st.Target("s-0", good.Addr, 0, "SERVING"))
+			}
+			live(t, stepped(c.step), p, edit)
+			select {
+			case call := <-good.Calls:
+				if !c.delivered {
+					t.Errorf("%s is sent", call.ID)
+				}
+			case n := <-p.Notices:
+				if c.delivered {
+					t.Errorf("%+v", n)
+				}
+			case <-time.After(2200 * time.Millisecond):
+				t.Error("it is neither sent nor ended")
+			}
+		})
+	}
+}
+
+// silentAddr takes connections and says nothing on them.
+func silentAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String()
+}
+
+// What a process has been told of the list binds the next one too, while discovery is silent and the configuration's
+// list is older: an endpoint that drains gets nothing, and one that has come in its place is used.
+func TestARestartWhileDiscoveryIsSilentGoesByTheListAsLastTold(t *testing.T) {
+	t.Parallel()
+	for name, state := range map[string]string{"draining": "DRAINING", "gone": "DELETED"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			old, kept, fresh := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
+			p := st.NewPlatform(t, old.Addr, kept.Addr)
+			folder := t.TempDir()
+			var known Targets
+			first := live(t, OperatingSystem(), p, func(c *Config) { c.State, known = folder, c.Known })
+			p.Change(st.Target("s-0", old.Addr, 0, state))
+			p.Change(st.Target("s-2", fresh.Addr, 0, "SERVING"))
+			st.HandIn(t, first.addr, "before", "unsafe", 0, 15*time.Second)
+			for heeded, n := false, 0; !heeded; n++ {
+				select {
+				case <-old.Calls:
+					st.HandIn(t, first.addr, "again"+strconv.Itoa(n), "unsafe", 0, 15*time.Second)
+				case <-fresh.Calls:
+					heeded = true
+				case <-time.After(st.Wait):
+					t.Fatal("no call")
+				}
+			}
+			first.stop()
+			second := live(t, OperatingSystem(), p, func(c *Config) { c.State, c.Known, c.Discovery = folder, known, silentAddr(t) })
+			for _, id := range []string{"a", "b", "c"} {
+				st.HandIn(t, second.addr, id, "unsafe", 0, 15*time.Second)
+			}
+			st.HandIn(t, second.addr, "other", "unsafe", 1, 15*time.Second)
+			kept.Next(t)
+			for range 3 {
+				select {
+				case call := <-fresh.Calls:
+					t.Log(call.ID, "is sent to the new one")
+				case call := <-old.Calls:
+					t.Fatalf("%s is sent to the old one", call.ID)
+				case <-time.After(3 * time.Second):
+					t.Fatal("nothing is sent")
+				}
+			}
+		})
+	}
+}
