Go on accepting clients whatever accept fails with for a moment

Cause: net/http ends its loop, and closes the listener, at an error of accept that is not temporary in Go's sense: ENOBUFS, ENOMEM, EPROTO, ENETDOWN, EHOSTUNREACH, EPERM, and ECONNABORTED. server.serve took the closed listener for a shutdown of ours, so the process went on with HEALTH ok and never took a client again. Change: the clients' listener retries after 5 to 100 ms unless the listener itself is broken; only our own close ends serve without an error; accept.failed counts, and HEALTH says so while it lasts. TestAcceptFailsForAMoment fails in seven of ten cases without the change. Ruled out: the proxy, whose connects were refused by the sender's address; the processes had not ended.

--- a/internal/sender/figures.go
+++ b/internal/sender/figures.go
@@ -97,6 +97,7 @@
 	reasonClosed    reasonKind = "closed"     // a client's connection was closed
 	reasonRefused   reasonKind = "refused"    // a request was refused
 	reasonRetried   reasonKind = "retried"    // an attempt ended and its message goes on
+	reasonAccept    reasonKind = "accept"     // clients that could not be accepted
 	reasonDropped   reasonKind = "dropped"    // a connection to an endpoint was closed with its call
 )
 
--- a/internal/sender/listener.go
+++ b/internal/sender/listener.go
@@ -25,6 +25,42 @@
 	cut    atomic.Bool   // connections are closed at once
 
 	closing func(*clientConn) // called when a connection is about to be closed; may be nil
+	failed  func(error)       // called when accept fails and is tried again; may be nil
+}
+
+// Pauses before accept is tried again; they double.
+const (
+	acceptPauseFirst = 5 * time.Millisecond
+	acceptPauseMost  = 100 * time.Millisecond
+)
+
+// brokenListener reports whether no further accept can work. All other errors pass: those of connections that were lost
+// before they were accepted, and those of a machine that is short of something for a moment (accept(2)).
+func brokenListener(err error) bool {
+	for _, broken := range []error{net.ErrClosed, os.ErrDeadlineExceeded, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
+
+// accept waits for the next connection, whatever fails meanwhile.
+func (d *limitListener) accept() (net.Conn, error) {
+	for pause := acceptPauseFirst; ; pause = min(2*pause, acceptPauseMost) {
+		c, err := d.Listener.Accept()
+		if err == nil || brokenListener(err) {
+			return c, err
+		}
+		if d.failed != nil {
+			d.failed(err)
+		}
+		select {
+		case <-time.After(pause):
+		case <-d.shut:
+			return nil, net.ErrClosed
+		}
+	}
 }
 
 func newLimitListener(l net.Listener, most int) *limitListener {
@@ -51,7 +87,7 @@
 	case <-d.shut:
 		return nil, net.ErrClosed
 	}
-	c, err := d.Listener.Accept()
+	c, err := d.accept()
 	if err == nil {
 		return &clientConn{Conn: c, cut: &d.cut, closing: d.closing, left: sync.OnceFunc(func() { <-d.places })}, nil
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -693,6 +693,8 @@
 		return errors.New("leaving")
 	case s.unwritten.Load():
 		return errors.New("the journal cannot be written")
+	case s.server.acceptFails():
+		return errors.New("clients cannot be accepted")
 	case time.Since(s.figures.lastBeat()) > beatMost:
 		return errors.New("the loop is stuck")
 	}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -56,6 +56,7 @@
 // server takes messages in from clients.
 type server struct {
 	conf    atomic.Pointer[Config]
+	log     *slog.Logger
 	clock   clock
 	guard   *guard // nil for none
 	submit  func(context.Context, submission) bool
@@ -64,6 +65,8 @@
 	http    *http.Server
 	most    int // connections of clients at once
 
+	failedAt atomic.Pointer[time.Time] // accept failed last then, nil if never
+
 	mu       sync.Mutex
 	listener *limitListener
 	open     int
@@ -76,7 +79,7 @@
 }
 
 func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
-	s := &server{clock: k, submit: submit, most: clientsMost(c.Limits.Sockets), quiet: map[*clientConn]time.Time{}, half: map[*clientConn]time.Time{}, known: map[*clientConn]bool{}, calm: make(chan struct{}, 1)}
+	s := &server{log: log, clock: k, submit: submit, most: clientsMost(c.Limits.Sockets), quiet: map[*clientConn]time.Time{}, half: map[*clientConn]time.Time{}, known: map[*clientConn]bool{}, calm: make(chan struct{}, 1)}
 	s.conf.Store(c)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
@@ -91,10 +94,17 @@
 	return s
 }
 
+// acceptFails reports whether accept has just failed: while it does, it is tried more often than this looks back.
+func (s *server) acceptFails() bool {
+	at := s.failedAt.Load()
+	return at != nil && time.Since(*at) < 5*acceptPauseMost
+}
+
 // listenOn takes a listener for what follows. Clients hold a part of the descriptors at most; further ones wait to be
 // accepted, while none of those connected can be let go.
 func (s *server) listenOn(l net.Listener) *limitListener {
 	d := newLimitListener(l, s.most)
+	d.failed = s.acceptFailed
 	if s.guard != nil {
 		d.closing = s.guard.checkClose
 	}
@@ -104,14 +114,24 @@
 	return d
 }
 
-// serve answers on the listener until it is closed.
+// serve answers on the listener until it is closed by us. net/http closes it, too, where accept fails for good.
 func (s *server) serve(d *limitListener) error {
 	err := s.http.Serve(d)
-	select {
-	case <-d.shut: // by us
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
-	default:
-		return err
+	}
+	return err
+}
+
+// acceptFailed notes that a client could not be accepted.
+func (s *server) acceptFailed(err error) {
+	if !s.acceptFails() {
+		s.log.Warn("clients cannot be accepted", "err", err)
+	}
+	now := time.Now()
+	s.failedAt.Store(&now)
+	if s.guard != nil {
+		s.guard.figures.reason(reasonAccept, "failed")
 	}
 }
 
