Keep deadlines and windows across restarts by the monotonic clock, not by the wall clock

Only after a new start of the machine, or without that line, the wall clock counts. TestDamagedJournalLosesNoOtherRecord counted lines from the first, which is the clock's now: it damages that one, too, and is stricter. Ruled out: steps while a process runs, which its monotonic base already covered.

--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -325,16 +325,3 @@
 	}
 	return def
 }
-
-// clock is the Brain's: Unix time as read at the start, and monotonic from there on, so that times in the
-// journal mean the same to the next process and a step of the wall clock moves no deadline.
-type clock struct {
-	start time.Time
-	base  time.Duration
-}
-
-func newClock(wall time.Time) clock {
-	return clock{time.Now(), time.Duration(wall.UnixNano())}
-}
-
-func (c clock) now() time.Duration { return c.base + time.Since(c.start) }
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -36,15 +36,19 @@
 	// overhead is what a message's attempts and end may add to its line in a compacted file. Only that is
 	// set aside: the records that lead there go with the next compaction.
 	overhead = 640
+	// clockCost is what the line that tells how to read times may take.
+	clockCost = 256
 	// slackPart of the budget is left by what is taken on, or every further record would need a compaction.
 	slackPart = 10
 )
 
-// record is one line. Times are the clock's: Unix nanoseconds.
+// record is one line. Times are the clock's, which the first line of a file tells how to read; without it they are Unix time.
 type record struct {
-	Op string `json:"op"` // take, send, end, over, told, past
+	Op string `json:"op"` // take, send, end, over, told, past, clock
 	ID string `json:"id"`
 
+	Clock *epoch `json:"clock,omitempty"` // clock: how the times of all records are to be read
+
 	// take: the message as its client handed it in; in a compacted file with what came of it so far
 	Key      string        `json:"key,omitempty"`
 	Class    string        `json:"class,omitempty"`
@@ -63,7 +67,7 @@
 	How     string `json:"how,omitempty"` // over
 	RetryMS int64  `json:"retry_ms,omitempty"`
 
-	At time.Duration `json:"at,omitempty"` // over, told, past: when the message ended, by wall-clock time
+	At time.Duration `json:"at,omitempty"` // over, told, past: when the message ended
 }
 
 // rules are those that a message was taken under. The settings may name its class no more, or otherwise, by the
@@ -152,6 +156,7 @@
 type journal struct {
 	path   string
 	files  FileSystem
+	clock  *clock
 	file   File
 	budget int64 // bytes that old and new file may hold together
 	size   int64
@@ -212,8 +217,9 @@
 }
 
 // openJournal reads what an earlier process left and begins a compacted file.
-func openJournal(files FileSystem, dir string, budget int64) (*journal, error) {
-	j := &journal{files: files, path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}}
+// It sets the clock to that of the earlier process.
+func openJournal(files FileSystem, clock *clock, dir string, budget int64) (*journal, error) {
+	j := &journal{files: files, clock: clock, path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}, live: clockCost}
 	old, err := files.OpenFile(j.path, os.O_RDONLY, 0)
 	if err == nil {
 		err = j.replay(old)
@@ -249,8 +255,12 @@
 			continue
 		}
 		switch m := j.byID[rec.ID]; {
+		case rec.Op == "clock":
+			if rec.Clock != nil {
+				j.clock.follow(*rec.Clock)
+			}
 		case rec.Op == "past":
-			if age := wallClock() - rec.At; age < 2*endedFor {
+			if age := j.clock.now() - rec.At; age < 2*endedFor {
 				j.keep(rec.ID, rec.At)
 			}
 		case rec.Op == "take":
@@ -371,7 +381,7 @@
 func (j *journal) note(m *stored, rec record) {
 	rec.ID = m.ID
 	if rec.Op == "told" || rec.Op == "over" {
-		rec.At = wallClock()
+		rec.At = j.clock.now()
 	}
 	if _, err := encode(&j.buf, &rec); err != nil {
 		j.failed = true
@@ -425,7 +435,12 @@
 		return err
 	}
 	w := bufio.NewWriterSize(f, 1<<16)
-	var size int64
+	first, err := encode(w, &record{Op: "clock", Clock: j.clock.epoch()})
+	if err != nil {
+		f.Close()
+		return err
+	}
+	size := int64(first)
 	kept := make([]*stored, 0, len(j.byID))
 	for _, g := range []generation{j.endedBefore, j.ended} {
 		for id, at := range g.at {
@@ -474,6 +489,3 @@
 	}
 	return err
 }
-
-// wallClock is the time that means the same to the next process.
-func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/sender/journal_test.go
+++ b/internal/sender/journal_test.go
@@ -14,7 +14,7 @@
 
 func openTest(t *testing.T, dir string, budget int64) *journal {
 	t.Helper()
-	j, err := openJournal(osFiles{}, dir, budget)
+	j, err := openJournal(osFiles{}, newClock(time.Now()), dir, budget)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,17 +107,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	first := bytes.IndexByte(raw, '\n') + 1
-	second := first + bytes.IndexByte(raw[first:], '\n') + 1
-	for n := first; n < second; n++ {
+	lineAt := func(from int) int { return from + bytes.IndexByte(raw[from:], '\n') + 1 }
+	afterClock := lineAt(0)
+	first := lineAt(afterClock)
+	second := lineAt(first)
+	for n := range second {
+		if afterClock <= n && n < first {
+			continue
+		}
 		for _, wrong := range []byte{0, '\n', '{', ' ', raw[n] ^ 1} {
 			damaged := bytes.Clone(raw)
 			damaged[n] = wrong
 			if err := os.WriteFile(j.path, damaged, 0o600); err != nil {
 				t.Fatal(err)
 			}
-			if again := openTest(t, dir, 1<<20); again.byID["a"] == nil || again.byID["c"] == nil {
-				t.Fatalf("byte %d of the second of three made %q: holds %d", n-first, wrong, len(again.byID))
+			again := openTest(t, dir, 1<<20)
+			if again.byID["a"] == nil || again.byID["c"] == nil || n < first && again.byID["b"] == nil {
+				t.Fatalf("byte %d, in the clock's line or the second of three, made %q: holds %d", n, wrong, len(again.byID))
 			}
 		}
 	}
--- a/internal/sender/leaving_test.go
+++ b/internal/sender/leaving_test.go
@@ -54,7 +54,7 @@
 	if err := st.Receive(t, l.done); err != nil {
 		t.Error(err)
 	}
-	j, err := openJournal(osFiles{}, l.folder, 1<<20)
+	j, err := openJournal(osFiles{}, newClock(time.Now()), l.folder, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -66,7 +66,7 @@
 	env     Environment
 	c       *Config
 	log     *slog.Logger
-	clock   clock
+	clock   *clock
 	brain   *brain.Brain
 	journal *journal
 	pool    *pool
@@ -144,7 +144,7 @@
 }
 
 func (s *Sender) openJournal() error {
-	j, err := openJournal(s.env.Files, s.c.State, int64(s.c.Limits.DiskMB*1e6*journalPart))
+	j, err := openJournal(s.env.Files, s.clock, s.c.State, int64(s.c.Limits.DiskMB*1e6*journalPart))
 	if err != nil {
 		return err
 	}
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -57,7 +57,7 @@
 type server struct {
 	conf    atomic.Pointer[Config]
 	log     *slog.Logger
-	clock   clock
+	clock   *clock
 	guard   *guard // nil for none
 	submit  func(context.Context, submission) bool
 	ready   atomic.Bool
@@ -78,7 +78,7 @@
 	calm     chan struct{} // while it leaves: no request is open
 }
 
-func newServer(c *Config, k clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
+func newServer(c *Config, k *clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
 	s := &server{log: log, clock: k, submit: submit, most: clientsMost(c.Limits.Sockets), quiet: map[*clientConn]time.Time{}, half: map[*clientConn]time.Time{}, known: map[*clientConn]bool{}, calm: make(chan struct{}, 1)}
 	s.conf.Store(c)
 	mux := http.NewServeMux()
