Read a request to its end that has begun as its connection is let go of

A request that made room was closed 20 ms later, whether its end had been read or not. Change: what has begun is read on for up to 0.8 s; the first bytes move a connection from the quiet to the half ones; the fallback close comes after 0.5 s and spares what a handler has. Ruled out: a lock round the read, as it would be held while a connection rests.

--- a/internal/sender/listener.go
+++ b/internal/sender/listener.go
@@ -25,6 +25,7 @@
 	cut    atomic.Bool   // connections are closed at once
 
 	closing func(*clientConn) // called when a connection is about to be closed; may be nil
+	begins  func(*clientConn) // called when the first bytes of a request have been read; may be nil
 	failed  func(error)       // called when accept fails and is tried again; may be nil
 }
 
@@ -89,7 +90,7 @@
 	}
 	c, err := d.accept()
 	if err == nil {
-		return &clientConn{Conn: c, cut: &d.cut, closing: d.closing, left: sync.OnceFunc(func() { <-d.places })}, nil
+		return &clientConn{Conn: c, cut: &d.cut, closing: d.closing, begins: d.begins, left: sync.OnceFunc(func() { <-d.places })}, nil
 	}
 	<-d.places
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -104,12 +105,16 @@
 type clientConn struct {
 	net.Conn
 	left     func()
-	gone     atomic.Bool  // nothing more is read
+	gone     atomic.Bool  // it is let go of: nothing more is read but the rest of a request that has begun
+	halted   atomic.Bool  // not even that
+	handled  atomic.Bool  // its request is being answered
 	begun    atomic.Bool  // something of a request has been read since the last answer
 	owed     atomic.Bool  // a request has been read to its end
 	answered atomic.Bool  // something has been written
 	cut      *atomic.Bool // the listener's: nobody is waited for any more
 	closing  func(*clientConn)
+	begins   func(*clientConn) // called when the first bytes of a request have been read; may be nil
+	finishBy atomic.Pointer[time.Time]
 	reason   atomic.Pointer[string] // why it is let go of, nil if its client or net/http ends it
 }
 
@@ -135,30 +140,59 @@
 	return closedOther
 }
 
-// dismiss ends the reading. Unlike a close it costs nobody an answer: a request that has been read already, by whoever
-// was just reading, is still served, and the connection is closed then.
+// finishTime is how long a request may still take to come whole that has begun as its connection is let go of.
+const finishTime = 800 * time.Millisecond
+
+// dismiss ends the reading between requests. Unlike a close it costs nobody an answer: a request of which something has
+// been read is read to its end, and answered, before the connection is closed.
 func (g *clientConn) dismiss(why string) {
 	g.reason.CompareAndSwap(nil, &why)
+	finishBy := time.Now().Add(finishTime)
+	g.finishBy.CompareAndSwap(nil, &finishBy)
 	g.gone.Store(true)
 	g.SetReadDeadline(time.Unix(1, 0))
 }
 
+// cutOff ends the reading at once, also in the middle of a request.
+func (g *clientConn) cutOff(why string) {
+	g.halted.Store(true)
+	g.dismiss(why)
+}
+
 // Read heeds a dismissal also where the server has set a new deadline since.
 func (g *clientConn) Read(b []byte) (int, error) {
-	if g.gone.Load() {
-		return 0, os.ErrDeadlineExceeded
+	for {
+		gone := g.gone.Load()
+		if gone && !g.goesOn() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		n, err := g.Conn.Read(b)
+		if n > 0 && !g.begun.Swap(true) && g.begins != nil {
+			g.begins(g)
+		}
+		// A dismissal may have ended this read in the middle of a request.
+		interrupted := n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && g.gone.Load() && g.goesOn()
+		if !interrupted {
+			return n, err
+		}
 	}
-	n, err := g.Conn.Read(b)
-	if n > 0 {
-		g.begun.Store(true)
+}
+
+// goesOn reports whether a connection that was let go of is still read, as a request has begun on it, and sets its
+// deadline for that.
+func (g *clientConn) goesOn() bool {
+	finishBy := g.finishBy.Load()
+	if !g.begun.Load() || g.halted.Load() || finishBy == nil || !time.Now().Before(*finishBy) {
+		return false
 	}
-	return n, err
+	return g.Conn.SetReadDeadline(*finishBy) == nil
 }
 
 func (g *clientConn) Write(b []byte) (int, error) {
 	g.answered.Store(true)
-	g.owed.Store(false)
-	g.begun.Store(false) // before the client can go on: what is read from now on is its next request
+	if !g.owed.Swap(false) {
+		g.begun.Store(false) // before the client can go on: what is read from now on is its next request
+	}
 	return g.Conn.Write(b)
 }
 
--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -31,6 +31,9 @@
 	writeTime  = 5 * time.Second // an answer, to a peer that may not read
 
 	evictAgain = 20 * time.Millisecond // a request may take so long to come before it makes room for others
+	// evictClose is when the connection of such a request is closed if nothing else has closed it: longer than a process is
+	// held up, so that a request that was read meanwhile has its handler.
+	evictClose = 500 * time.Millisecond
 
 	// At the end: for what waits in the queue to be taken in, for the answers to what has been read, and how often what is
 	// left is looked at.
@@ -104,7 +107,7 @@
 // accepted, while none of those connected can be let go.
 func (s *server) listenOn(l net.Listener) *limitListener {
 	d := newLimitListener(l, s.most)
-	d.failed = s.acceptFailed
+	d.failed, d.begins = s.acceptFailed, s.begun
 	if s.guard != nil {
 		d.closing = s.guard.checkClose
 	}
@@ -152,7 +155,7 @@
 	defer s.mu.Unlock()
 	s.leaving = true
 	for g := range s.quiet {
-		if s.known[g] && !g.begun.Load() && quiet(g) {
+		if s.known[g] && quiet(g) {
 			g.dismiss(closedLeaving)
 		}
 	}
@@ -220,7 +223,7 @@
 		if time.Until(until) < answersEnd/2 { // whoever has just come in has had time to speak
 			s.dismiss()
 			for g := range s.half {
-				g.dismiss(closedLeaving)
+				g.cutOff(closedLeaving)
 			}
 		}
 		open := s.open
@@ -242,12 +245,23 @@
 func (s *server) whole(r *http.Request) {
 	if g, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		g.owed.Store(true)
+		g.begun.Store(false) // what is read from now on is the next request
 		s.mu.Lock()
 		delete(s.half, g)
 		s.mu.Unlock()
 	}
 }
 
+// begun notes that a request has begun to come on a connection. net/http tells that only when it has its whole head.
+func (s *server) begun(g *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, rests := s.quiet[g]; rests {
+		delete(s.quiet, g)
+		s.half[g] = time.Now()
+	}
+}
+
 // track follows the connections. When the last place is taken, the one that has been without a request for
 // longest makes room, or if there is none the one that has been in the middle of its first one for longest: peers that only
 // hold their connection must not keep those out that have something to say. While it leaves, nobody is kept.
@@ -261,12 +275,20 @@
 		s.evict()
 		s.quiet[g] = time.Now()
 	case http.StateIdle:
-		s.quiet[g], s.known[g] = time.Now(), true
+		s.known[g] = true
 		delete(s.half, g)
+		if g.begun.Load() { // a further request has come behind the one answered
+			s.half[g] = time.Now()
+		} else {
+			s.quiet[g] = time.Now()
+		}
 		g.owed.Store(false)
+		g.handled.Store(false)
 	case http.StateActive:
 		delete(s.quiet, g)
-		s.half[g] = time.Now()
+		if _, begun := s.half[g]; !begun {
+			s.half[g] = time.Now()
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.open--
 		delete(s.quiet, g)
@@ -325,9 +347,9 @@
 		return false
 	}
 	delete(s.half, oldest)
-	oldest.dismiss(closedHalf)
-	time.AfterFunc(evictAgain, func() {
-		if !oldest.owed.Load() {
+	oldest.cutOff(closedHalf)
+	time.AfterFunc(evictClose, func() {
+		if !oldest.owed.Load() && !oldest.handled.Load() {
 			oldest.Close()
 		}
 	})
@@ -336,6 +358,9 @@
 
 func (s *server) header(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+			g.handled.Store(true)
+		}
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
