Add three failing tests: moments without files at a start, refusals not written, endless waits

The first two by reading, forced by the test: a kill behind a 503 whose record is not written makes the next process send what its client may hand in again.

--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -351,3 +353,218 @@
 		t.Errorf("%+v, %v", resp, err)
 	}
 }
+
+// failingFiles fails what a test wants to fail, and otherwise is the operating system's.
+type failingFiles struct {
+	osFiles
+	open  func(path string, flag int) error
+	write func(b []byte) error
+}
+
+func (f failingFiles) OpenFile(path string, flag int, mode os.FileMode) (File, error) {
+	if f.open != nil {
+		if err := f.open(path, flag); err != nil {
+			return nil, err
+		}
+	}
+	file, err := f.osFiles.OpenFile(path, flag, mode)
+	if err != nil || f.write == nil {
+		return file, err
+	}
+	return failingFile{file, f.write}, nil
+}
+
+type failingFile struct {
+	File
+	write func(b []byte) error
+}
+
+func (f failingFile) Write(b []byte) (int, error) {
+	if err := f.write(b); err != nil {
+		return 0, err
+	}
+	return f.File.Write(b)
+}
+
+// failFirst fails so many calls with an error.
+func failFirst(times int32, err error) func() error {
+	left := &atomic.Int32{}
+	left.Store(times)
+	return func() error {
+		if left.Add(-1) >= 0 {
+			return err
+		}
+		return nil
+	}
+}
+
+// What fails for a moment at a start, or at a new configuration, is tried again.
+func TestSystemCallsFailForAMomentAtAStart(t *testing.T) {
+	t.Parallel()
+	const times = 3
+	fail := func(op string, errno syscall.Errno) func() error {
+		return failFirst(times, &os.PathError{Op: op, Path: "x", Err: errno})
+	}
+	t.Run("the journal", func(t *testing.T) {
+		t.Parallel()
+		e := st.NewEndpoint(t, st.Status(200))
+		p := st.NewPlatform(t)
+		state := t.TempDir()
+		first := live(t, OperatingSystem(), p, func(c *Config) { c.State = state })
+		st.HandIn(t, first.addr, "m", "unsafe", 0, 15*time.Second)
+		first.stop()
+		p.Change(st.Target("s-0", e.Addr, 0, "SERVING"))
+		env, failing := OperatingSystem(), fail("open", syscall.ENFILE)
+		env.Files = failingFiles{open: func(_ string, flag int) error {
+			if flag != os.O_RDONLY {
+				return nil
+			}
+			return failing()
+		}}
+		live(t, env, p, func(c *Config) { c.State = state })
+		if c := e.Next(t); c.ID != "m" {
+			t.Errorf("%+v", c)
+		}
+	})
+	t.Run("the address", func(t *testing.T) {
+		t.Parallel()
+		e := st.NewEndpoint(t, st.Status(200))
+		raw, err := json.Marshal(st.Config(st.NewPlatform(t, e.Addr), t.TempDir()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := ParseConfig(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := New(c, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.grace, s.leaveAfter = 0, 20*time.Millisecond
+		ctx, cancel := context.WithCancel(context.Background())
+		failing := failFirst(times, &net.OpError{Op: "listen", Err: os.NewSyscallError("bind", syscall.EADDRNOTAVAIL)})
+		done, addr := make(chan error, 1), make(chan string, 1)
+		go func() {
+			done <- s.Run(ctx, func() (net.Listener, error) {
+				if err := failing(); err != nil {
+					return nil, err
+				}
+				l, err := net.Listen("tcp", c.Listen)
+				if err == nil {
+					addr <- l.Addr().String()
+				}
+				return l, err
+			})
+		}()
+		select {
+		case err := <-done:
+			t.Fatalf("it ends with %v", err)
+		case at := <-addr:
+			st.HandIn(t, at, "m", "safe", 0, 5*time.Second)
+			e.Next(t)
+		}
+		cancel()
+		if err := st.Receive(t, done); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Run("the configuration", func(t *testing.T) {
+		t.Parallel()
+		p := st.NewPlatform(t)
+		raw, err := json.Marshal(st.Config(p, t.TempDir()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		getenv := func(name string) string { return map[string]string{"EDGE_CONFIG": file}[name] }
+		env, failing := OperatingSystem(), fail("open", syscall.EMFILE)
+		env.ReadFile = func(path string) ([]byte, error) {
+			if err := failing(); err != nil {
+				return nil, err
+			}
+			return os.ReadFile(path)
+		}
+		if _, err := LoadConfig(env, getenv); err != nil {
+			t.Errorf("a start: %v", err)
+		}
+		s := live(t, env, p, nil)
+		failing = fail("open", syscall.EMFILE)
+		if err := s.Reload(context.Background(), getenv); err != nil {
+			t.Errorf("a new configuration: %v", err)
+		}
+	})
+}
+
+// A refusal promises that the message has no effect: it is written down first, so that no later process sends the message;
+// where it cannot be, nothing is promised.
+func TestARefusalIsWrittenBeforeItIsPromised(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		write func(b []byte) error // of the refusal's record
+		want  int
+	}{
+		"a disk that is slow":  {func([]byte) error { time.Sleep(300 * time.Millisecond); return nil }, http.StatusServiceUnavailable},
+		"a disk that is full":  {func([]byte) error { return syscall.ENOSPC }, http.StatusInternalServerError},
+		"a disk with an error": {func([]byte) error { return syscall.EIO }, http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hung := st.NewEndpoint(t, st.Silent)
+			var done atomic.Bool
+			env := OperatingSystem()
+			env.Files = failingFiles{write: func(b []byte) error {
+				if !bytes.Contains(b, []byte(`"how":"answered"`)) && (!done.Load() || c.want == http.StatusServiceUnavailable) {
+					return nil
+				}
+				err := c.write(b)
+				done.Store(true)
+				return err
+			}}
+			s := live(t, env, st.NewPlatform(t, hung.Addr), func(conf *Config) { conf.Settings.MostHeld = 2 })
+			st.HandIn(t, s.addr, "out", "unsafe", 0, 15*time.Second)
+			hung.Next(t)
+			resp, _ := st.Do(t, st.Message(t, s.addr, "refused", "unsafe", 5, 15*time.Second, "body"))
+			if resp.StatusCode != c.want {
+				t.Errorf("it is answered %s, want %d", resp.Status, c.want)
+			}
+			if !done.Load() {
+				t.Error("it is answered before its end is written")
+			}
+		})
+	}
+}
+
+// A wait counts from the line that tells it, also where the answer it stands in never ends.
+func TestAWaitWhoseAnswerNeverEndsIsHeeded(t *testing.T) {
+	t.Parallel()
+	const wait = 1200 * time.Millisecond
+	var told atomic.Int64
+	e := st.NewEndpoint(t, func(c st.Call, conn net.Conn) bool {
+		if c.ID != "first" {
+			return st.Status(200)(c, conn)
+		}
+		told.Store(time.Now().UnixNano())
+		io.WriteString(conn, "HTTP/1.1 429 X\r\nX-RateLimit-Wait-Ms: "+strconv.FormatInt(wait.Milliseconds(), 10)+"\r\nContent-Length: 100\r\n\r\nhalf")
+		return st.Silent(c, conn)
+	})
+	admin := freeAddr(t)
+	s := live(t, OperatingSystem(), st.NewPlatform(t, e.Addr), func(c *Config) { c.Admin = admin })
+	st.HandIn(t, s.addr, "first", "unsafe", 0, 15*time.Second)
+	e.Next(t)
+	for told.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(150 * time.Millisecond)
+	st.HandIn(t, s.addr, "second", "safe", 0, 15*time.Second)
+	c := e.Next(t)
+	if after := time.Since(time.Unix(0, told.Load())); c.ID != "second" || after < wait {
+		t.Errorf("%s comes %v after a wait of %v was told", c.ID, after, wait)
+	}
+	if got := readFigures(t, admin)["violations.wait"]; got != 0 {
+		t.Errorf("the guard had to stop %d calls", got)
+	}
+}
