--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -4,9 +4,11 @@
 package sender
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net"
 	"os"
@@ -68,8 +70,12 @@
 }
 
 // LoadConfig reads the file that EDGE_CONFIG names. The other variables win over what it says.
-func LoadConfig(env Environment, getenv func(string) string) (*Config, error) {
-	raw, err := env.ReadFile(getenv("EDGE_CONFIG"))
+func LoadConfig(ctx context.Context, log *slog.Logger, env Environment, getenv func(string) string) (*Config, error) {
+	var raw []byte
+	err := keepTrying(ctx, log, "the configuration", func() (err error) {
+		raw, err = env.ReadFile(getenv("EDGE_CONFIG"))
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -41,7 +41,7 @@
 	if edit != nil {
 		edit(c)
 	}
-	s, err := NewIn(env, c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s, err := NewIn(context.Background(), env, c, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -488,7 +488,7 @@
 			}
 			return os.ReadFile(path)
 		}
-		if _, err := LoadConfig(env, getenv); err != nil {
+		if _, err := LoadConfig(context.Background(), slog.New(slog.DiscardHandler), env, getenv); err != nil {
 			t.Errorf("a start: %v", err)
 		}
 		s := live(t, env, p, nil)
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -191,6 +191,15 @@
 	return nil, err
 }
 
+// tryLock takes the lock on the state folder, nil if another process holds it.
+func (s *Sender) tryLock(ctx context.Context) (lock *os.File, err error) {
+	err = keepTrying(ctx, s.log, "the lock on the state folder", func() (err error) {
+		lock, err = lockFolder(s.folder)
+		return err
+	})
+	return lock, err
+}
+
 // socketAt calls use with the path of the holder's socket. It stands in the temporary folder, as what stands in
 // the state folder is kept and counted. A socket's path is short, so a long one is reached through its folder.
 func socketAt(state string, use func(path string) error) error {
@@ -236,7 +245,10 @@
 	var st *snapshot
 	var from *link
 	for told := false; ; {
-		lock, err := lockFolder(s.folder)
+		lock, err := s.tryLock(ctx)
+		if isTransient(err) {
+			return nil, fmt.Errorf("the state folder: %w", err)
+		}
 		if err != nil {
 			s.log.Warn("the state folder cannot be locked: an upgrade will not be noticed", "err", err)
 			s.guard.checkStart(false)
@@ -263,7 +275,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return st, s.openJournal()
+	return st, s.openJournal(ctx)
 }
 
 // awaitSuccessor listens for a newcomer, until ctx ends. It is called with the lock held, so what stands at the
@@ -273,10 +285,12 @@
 		return
 	}
 	var l net.Listener
-	err := socketAt(s.folder, func(path string) (err error) {
-		os.Remove(path)
-		l, err = net.Listen("unix", path)
-		return err
+	err := keepTrying(ctx, s.log, "the socket for an upgrade", func() error {
+		return socketAt(s.folder, func(path string) (err error) {
+			os.Remove(path)
+			l, err = net.Listen("unix", path)
+			return err
+		})
 	})
 	if err != nil {
 		s.log.Warn("no socket for an upgrade", "err", err)
@@ -288,6 +302,9 @@
 	defer l.Close()
 	for {
 		c, err := l.Accept()
+		if err != nil && !brokenListener(err) && wait(ctx, acceptPauseMost) {
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -499,7 +516,7 @@
 // relock waits for the lock that a dead successor has left, and gives it to the loop.
 func (s *Sender) relock(ctx context.Context) {
 	for {
-		if lock, err := lockFolder(s.folder); lock != nil || err != nil {
+		if lock, err := s.tryLock(ctx); lock != nil || err != nil {
 			s.post(ctx, lockEvent{lock})
 			return
 		}
@@ -516,7 +533,7 @@
 func (s *Sender) regain(ctx context.Context, lock *os.File) {
 	st := &snapshot{Flights: s.flights(), Rests: s.rests, Memory: s.memory}
 	s.lock = lock
-	if err := s.openJournal(); err != nil {
+	if err := s.openJournal(ctx); err != nil {
 		s.log.Error("the journal cannot be had again", "err", err)
 		s.journal = nil
 		if lock != nil {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -94,7 +94,7 @@
 
 	folder      string // the configuration's State
 	listVersion int64
-	reopen      func() // listens for clients again
+	reopen      func() // listens for clients again, by and by
 
 	lock        *os.File     // on the state folder; nil if it could not be had, or after a hand-over
 	predecessor *link        // the process that this one took over from, while it runs
@@ -109,6 +109,12 @@
 	grace, leaveAfter time.Duration
 }
 
+// listenerOrError is a listener for clients, or why there is none.
+type listenerOrError struct {
+	net.Listener
+	err error
+}
+
 type (
 	listEvent   struct{ Targets }
 	failedEvent struct{ err error }
@@ -117,10 +123,12 @@
 )
 
 // New opens the journal, unless another process holds it; Run does the rest.
-func New(c *Config, log *slog.Logger) (*Sender, error) { return NewIn(OperatingSystem(), c, log) }
+func New(c *Config, log *slog.Logger) (*Sender, error) {
+	return NewIn(context.Background(), OperatingSystem(), c, log)
+}
 
-// NewIn is New in an environment other than the operating system's.
-func NewIn(env Environment, c *Config, log *slog.Logger) (*Sender, error) {
+// NewIn is New in an environment other than the operating system's. What fails for a moment is tried again until ctx ends.
+func NewIn(ctx context.Context, env Environment, c *Config, log *slog.Logger) (*Sender, error) {
 	s := &Sender{env: env, c: c, folder: c.State, log: log, clock: newClock(env.Wall()), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery, c.Settings.Senders), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
@@ -132,7 +140,10 @@
 	s.disc.asks = c.Settings.AsksForList
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	s.server.guard = s.guard
-	lock, err := lockFolder(c.State)
+	lock, err := s.tryLock(ctx)
+	if isTransient(err) {
+		return nil, fmt.Errorf("the state folder: %w", err) // going on without a lock, it may not be the only owner
+	}
 	if err != nil {
 		log.Warn("the state folder cannot be locked: an upgrade will not be noticed", "err", err)
 		s.guard.checkStart(false)
@@ -140,11 +151,15 @@
 		return s, nil // another process holds it: Run takes over from that
 	}
 	s.lock = lock
-	return s, s.openJournal()
+	return s, s.openJournal(ctx)
 }
 
-func (s *Sender) openJournal() error {
-	j, err := openJournal(s.env.Files, s.clock, s.c.State, int64(s.c.Limits.DiskMB*1e6*journalPart))
+func (s *Sender) openJournal(ctx context.Context) error {
+	var j *journal
+	err := keepTrying(ctx, s.log, "the journal", func() (err error) {
+		j, err = openJournal(s.env.Files, s.clock, s.c.State, int64(s.c.Limits.DiskMB*1e6*journalPart))
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -205,11 +220,18 @@
 	}
 	s.resume(work, st, s.predecessorCall)
 	served := make(chan error, 1)
-	open := func() error {
-		l, err := listen()
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
+	listeners := make(chan listenerOrError, 1)
+	open := func() {
+		go func() {
+			var l net.Listener
+			err := keepTrying(ctx, s.log, "the clients' address", func() (err error) {
+				l, err = listen()
+				return err
+			})
+			listeners <- listenerOrError{l, err}
+		}()
+	}
+	serve := func(l net.Listener) {
 		if s.env.WrapListener != nil {
 			l = s.env.WrapListener(l)
 		}
@@ -218,18 +240,11 @@
 		s.server.closing.Store(false)
 		s.server.ready.Store(true)
 		s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
-		return nil
 	}
 	if ctx.Err() == nil { // else no client needs to come to it, and it ends what it has taken up
-		if err := open(); err != nil {
-			return errors.Join(err, s.leave(stop))
-		}
-	}
-	s.reopen = func() {
-		if err := open(); err != nil {
-			s.log.Error("clients cannot be served again", "err", err)
-		}
+		open()
 	}
+	s.reopen = open
 	if s.predecessor != nil {
 		go s.predecessor.listen(s.inbox, func(e any) { s.post(work, e) })
 	}
@@ -288,6 +303,16 @@
 			return s.leave(stop)
 		case <-ended:
 			return s.leave(stop)
+		case l := <-listeners:
+			switch {
+			case l.err != nil && ctx.Err() == nil:
+				return errors.Join(fmt.Errorf("listen: %w", l.err), s.leave(stop))
+			case l.err != nil:
+			case ctx.Err() != nil || s.handed: // too late: whoever comes goes to the next process
+				l.Close()
+			default:
+				serve(l.Listener)
+			}
 		case err := <-served:
 			if err != nil && !s.handed {
 				return errors.Join(fmt.Errorf("clients: %w", err), s.leave(stop))
@@ -705,7 +730,11 @@
 // Reload reads the configuration again and takes from it what may change in service: the platform's address and
 // the settings. A file that cannot be used changes nothing.
 func (s *Sender) Reload(ctx context.Context, getenv func(string) string) error {
-	c, err := s.server.conf.Load().reload(s.env, getenv)
+	var c *Config
+	err := keepTrying(ctx, s.log, "the new configuration", func() (err error) {
+		c, err = s.server.conf.Load().reload(s.env, getenv)
+		return err
+	})
 	if err != nil {
 		s.figures.reloaded(false)
 		return err
--- a/internal/sender/process.go
+++ b/internal/sender/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -23,7 +24,7 @@
 	hup := make(chan os.Signal, 1) // from the first: unheeded it would end the process
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	c, err := LoadConfig(env, os.Getenv)
+	c, err := LoadConfig(ctx, log, env, os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -33,11 +34,15 @@
 	if c.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.Limits.MemoryMB * 1e6 * memoryPart))
 	}
-	listen, err := c.Listener()
+	var listen func() (net.Listener, error)
+	err = keepTrying(ctx, log, "the passed socket", func() (err error) {
+		listen, err = c.Listener()
+		return err
+	})
 	if err != nil {
 		return err
 	}
-	s, err := NewIn(env, c, log)
+	s, err := NewIn(ctx, env, c, log)
 	if err != nil {
 		return err
 	}
--- a/internal/sender/reload_test.go
+++ b/internal/sender/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -28,7 +29,7 @@
 		edit(r.text)
 	}
 	r.write(t, r.text)
-	c, err := LoadConfig(OperatingSystem(), r.getenv)
+	c, err := LoadConfig(context.Background(), slog.New(slog.DiscardHandler), OperatingSystem(), r.getenv)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sender/scale_test.go
+++ b/internal/sender/scale_test.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -146,7 +147,7 @@
 				}
 			}
 			write(3)
-			first, err := LoadConfig(OperatingSystem(), getenv)
+			first, err := LoadConfig(context.Background(), slog.New(slog.DiscardHandler), OperatingSystem(), getenv)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -157,7 +158,7 @@
 				t.Fatal(err)
 			}
 			fits(next)
-			if next, err = LoadConfig(OperatingSystem(), getenv); err != nil {
+			if next, err = LoadConfig(context.Background(), slog.New(slog.DiscardHandler), OperatingSystem(), getenv); err != nil {
 				t.Fatal(err)
 			}
 			fits(next)
