Write a message's end down before it is told, and promise nothing that is not written

A kill behind it made the next process send what its client may hand in again: two runs of a message that may run once. Change: ends are told after the flush (tellClosed). Where that failed, a refusal is answered 500 and a hand-back becomes given_up, which promise nothing; refused.not_written counts them. Ruled out: holding the answer until the disk works again, as what is given up is to be answered at once.

--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -641,6 +641,7 @@
 func (s *Sender) step(ctx context.Context, events []brain.Event) {
 	now := s.clock.now()
 	actions := s.brain.Step(now, events)
+	var closed []closedMessage
 	for _, a := range actions {
 		switch a := a.(type) {
 		case brain.Send:
@@ -648,12 +649,15 @@
 				s.journal.note(m.stored, record{Op: "send", Try: len(m.Tries), Sent: &try{At: now, Endpoint: e.id[:min(len(e.id), maxTryName)], Zone: e.zone}})
 			}
 		case brain.Refuse:
-			s.close(a.Message, handedBack, http.StatusServiceUnavailable, a.HoldOff)
+			closed = s.close(closed, a.Message, handedBack, a.HoldOff)
 		case brain.Fail:
-			s.close(a.Message, givenUp, http.StatusInternalServerError, 0)
+			closed = s.close(closed, a.Message, givenUp, 0)
 		}
 	}
 	written := s.flush()
+	for _, c := range closed {
+		s.tellClosed(c, written)
+	}
 	for _, e := range events {
 		if m, ok := e.(brain.Message); ok {
 			s.reply(s.messages[m.ID], answerLine{status: http.StatusAccepted})
@@ -786,12 +790,19 @@
 	return true
 }
 
-// close ends a message as the Brain has it: in the answer to its client, or where that has been told
-// that the message is taken on, by a notice; either way at once.
-func (s *Sender) close(id brain.MessageID, how string, status int, hold time.Duration) {
+// closedMessage is a message that the Brain has ended, and that is to be told so once its end is written.
+type closedMessage struct {
+	*message
+	how     string            // givenUp or handedBack
+	clients []chan answerLine // that wait for its answer; without any a notice tells it
+	hold    time.Duration
+}
+
+// close ends a message as the Brain has it. It is told by tellClosed.
+func (s *Sender) close(closed []closedMessage, id brain.MessageID, how string, hold time.Duration) []closedMessage {
 	m := s.messages[id]
 	if m == nil || m.ended {
-		return
+		return closed
 	}
 	if how == handedBack {
 		s.figures.reason(reasonRefused, "by_decision")
@@ -799,13 +810,40 @@
 	} else {
 		s.figures.aborted(m.Class)
 	}
-	if s.reply(m, answerLine{status, hold, how}) {
+	c := closedMessage{message: m, how: how, clients: m.answer, hold: hold}
+	m.answer = nil
+	if c.clients != nil {
 		s.end(m, record{How: answered})
 	} else {
 		s.end(m, record{How: how, RetryMS: hold.Milliseconds()})
-		s.owed = append(s.owed, m.notice())
 	}
 	s.forget(m)
+	return append(closed, c)
+}
+
+// tellClosed tells a message's end at once: in the answer to its client, or where that has been told that the message is taken
+// on, by a notice. That the message had no effect is promised only if its end is written: else the next process,
+// which may come at any moment, would send it.
+func (s *Sender) tellClosed(c closedMessage, written bool) {
+	if c.how == handedBack && !written {
+		s.figures.reason(reasonRefused, "not_written")
+		c.how, c.hold = givenUp, 0
+		if c.clients == nil {
+			s.journal.note(c.stored, record{Op: "over", How: givenUp})
+		}
+	}
+	if c.clients == nil {
+		s.owed = append(s.owed, c.notice())
+		return
+	}
+	status := http.StatusInternalServerError
+	if c.how == handedBack {
+		status = http.StatusServiceUnavailable
+		s.guard.checkPromise(c.ID, written)
+	}
+	for _, client := range c.clients {
+		client <- answerLine{status, c.hold, c.how}
+	}
 }
 
 func (m *stored) notice() notice {
