Heed a told wait from its line on, also where its answer never ends

Cause: the wait came to the decisions with the end of the call (callEnded); an answer that stops behind its head holds that back up to the time-out, and further calls went out within the wait. Change: a wait whose answer is not whole yet goes to the loop and the Brain at once (WaitTold); the end of the call carries what is left of it. Ruled out: leaving it to the guard, as what it stops costs the message an attempt.

--- a/brain/api.go
+++ b/brain/api.go
@@ -83,7 +83,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, Withdrawn, ListNews, NewSettings and Alarm.
+// Event is one of Message, AttemptEnd, WaitTold, Withdrawn, ListNews, NewSettings and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
@@ -157,12 +157,18 @@
 	Elapsed  time.Duration // since it was sent
 	Idle     time.Duration // the connection had been without a call for so long; 0 for a fresh one or if unknown
 	Over     bool          // the message needs no further answer
-	Wait     time.Duration // with Refused: told to send nothing for so long; 0 if nothing was told
+	Wait     time.Duration // told to send nothing for so long from now on; 0 if nothing was told
 	Reported bool          // Left and Limit were reported
 	Left     float64       // share of the destination's allowance that is left
 	Limit    float64       // its limit in calls a second, 0 if it has none
 }
 
+// WaitTold says that an endpoint has told to send nothing for so long, in an answer that has not come whole yet.
+type WaitTold struct {
+	Endpoint EndpointID
+	Wait     time.Duration
+}
+
 // Withdrawn says that nobody wants the message any more.
 type Withdrawn struct{ Message MessageID }
 
@@ -191,6 +197,7 @@
 
 func (Message) event()     {}
 func (AttemptEnd) event()  {}
+func (WaitTold) event()    {}
 func (Withdrawn) event()   {}
 func (ListNews) event()    {}
 func (NewSettings) event() {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -288,6 +288,10 @@
 			b.admit(e)
 		case AttemptEnd:
 			b.ended(e)
+		case WaitTold:
+			if at := b.endpoints[e.Endpoint]; at != nil {
+				b.heedWait(b.dests[at.Destination], at.route, e.Wait)
+			}
 		case Alarm: // the clock may be coarser than ours: one that comes a little early is the one set
 			if b.alarm <= now+b.s.Step {
 				b.alarm = never
@@ -797,12 +801,7 @@
 		b.learnLimit(a.route, e.Limit)
 	}
 	if e.Wait > 0 { // each outcome of a shared call may tell a later end
-		a.route.closedUntil = max(a.route.closedUntil, b.now+e.Wait+time.Millisecond)
-		for _, at := range m.dest.endpoints {
-			if at.route == a.route {
-				b.withhold(at)
-			}
-		}
+		b.heedWait(m.dest, a.route, e.Wait)
 	}
 	// Broken sooner than any call was served, on a connection that had been idle: that was dropped meanwhile,
 	// and tells nothing of the destination. The call may have run, but its repeat need not wait.
@@ -833,6 +832,16 @@
 	}
 }
 
+// heedWait closes a route of a destination for a told wait.
+func (b *Brain) heedWait(d *destination, r *route, wait time.Duration) {
+	r.closedUntil = max(r.closedUntil, b.now+wait+time.Millisecond)
+	for _, at := range d.endpoints {
+		if at.route == r {
+			b.withhold(at)
+		}
+	}
+}
+
 // learn gives the oracle its sample: served first attempts only (Karn); an expiry doubles.
 func (b *Brain) learn(a *attempt, e AttemptEnd) {
 	switch {
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -124,13 +124,15 @@
 	forwarded      func(messages int) // called when a call is written whole
 	dialer         net.Dialer
 	guard          *guard
+	// waitTold is called when a wait has been told in an answer whose rest is still to come.
+	waitTold func(e *endpoint, wait time.Duration)
 }
 
 func newPool(c *Config) *pool {
 	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
 	// that it has closed is a reset that may have run: ours are closed a good deal before.
 	p := &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10, fields: c.Fields, forwarded: func(int) {},
-		guard: newGuard(slog.New(slog.DiscardHandler), newFigures(nil))}
+		waitTold: func(*endpoint, time.Duration) {}, guard: newGuard(slog.New(slog.DiscardHandler), newFigures(nil))}
 	p.most.Store(int64(c.idleMost()))
 	return p
 }
@@ -344,10 +346,14 @@
 		end.Outcome, end.Over = outcome, outcome == brain.Served
 		return end
 	}
-	p.read(e, resp, c, &end)
+	waitsUntil := p.read(e, resp, c, &end)
 	// A first line of 200 is true whatever follows, if it comes in time. Any other answer counts only if it comes whole: that a call
 	// never ran is not to be taken from half an answer.
-	switch _, whole := p.rest(e, c, resp); {
+	_, whole := p.rest(e, c, resp)
+	if !waitsUntil.IsZero() {
+		end.Wait = max(0, time.Until(waitsUntil))
+	}
+	switch {
 	case late:
 		end = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.TimedOut, Wait: end.Wait, Idle: end.Idle}
 	case !whole && end.Outcome != brain.Served:
@@ -416,8 +422,11 @@
 		}
 		return all(end)
 	}
-	p.read(e, resp, c, &end)
+	waitsUntil := p.read(e, resp, c, &end)
 	body, whole := p.rest(e, c, resp)
+	if !waitsUntil.IsZero() {
+		end.Wait = max(0, time.Until(waitsUntil))
+	}
 	switch {
 	case !time.Now().Before(until): // here the whole answer counts, so all of it has to come in time
 		return all(brain.AttemptEnd{Endpoint: e.number, Outcome: brain.TimedOut, Wait: end.Wait, Idle: end.Idle})
@@ -578,8 +587,9 @@
 	}
 }
 
-// read translates an answer.
-func (p *pool) read(e *endpoint, resp *http.Response, c *conn, end *brain.AttemptEnd) {
+// read translates an answer. Where it tells a wait and its rest is still to come, the wait is passed on at once, and its end
+// returned; else that is the zero time.
+func (p *pool) read(e *endpoint, resp *http.Response, c *conn, end *brain.AttemptEnd) (waitsUntil time.Time) {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		end.Outcome, end.Over = brain.Served, true
@@ -608,6 +618,10 @@
 		scope := e.scope
 		e.mu.Unlock()
 		p.guard.waitTold(scope, end.Wait)
+		if resp.ContentLength < 0 || resp.ContentLength > int64(c.r.Buffered()) {
+			waitsUntil = time.Now().Add(end.Wait)
+			p.waitTold(e, end.Wait)
+		}
 	}
 	report := map[string]float64{}
 	for _, part := range strings.Split(resp.Header.Get("X-Load"), ",") {
@@ -618,6 +632,7 @@
 	}
 	end.Left, end.Reported = report["x0"]
 	end.Limit = report["x1"]
+	return waitsUntil
 }
 
 // endpoints is the list as the loop knows it. Numbers stay with ids, also of those that are gone.
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -118,6 +118,10 @@
 type (
 	listEvent   struct{ Targets }
 	failedEvent struct{ err error }
+	waitEvent   struct {
+		endpoint brain.EndpointID
+		until    time.Time
+	}
 	toldEvent   struct{ notices []notice }
 	reloadEvent struct{ *Config }
 )
@@ -208,6 +212,7 @@
 	if st != nil {
 		known, s.disc.first = st.ListVersion, 0
 	}
+	s.pool.waitTold = func(e *endpoint, wait time.Duration) { s.post(work, waitEvent{e.number, time.Now().Add(wait)}) }
 	go s.disc.follow(work, known, s.asked,
 		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
 	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
@@ -476,6 +481,8 @@
 		return one(s.submitted(e))
 	case callEnd:
 		return s.callEnded(e)
+	case waitEvent:
+		return one(brain.WaitTold{Endpoint: e.endpoint, Wait: max(0, time.Until(e.until))})
 	case reloadEvent:
 		return s.retune(e.Config)
 	case linkEvent:
