--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -568,3 +569,104 @@
 		t.Errorf("the guard had to stop %d calls", got)
 	}
 }
+
+// A disk that takes nothing for a while costs a message time, and none of its attempts.
+func TestADiskThatFailsForAWhileCostsNoAttempt(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{syscall.ENOSPC, syscall.EIO} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			e := st.NewEndpoint(t, st.Status(200))
+			p := st.NewPlatform(t)
+			var failing atomic.Bool
+			env := OperatingSystem()
+			env.Files = failingFiles{write: func([]byte) error {
+				if failing.Load() {
+					return errno
+				}
+				return nil
+			}}
+			s := live(t, env, p, func(c *Config) { c.Settings.MaxAttempts = 2 })
+			ids := []string{"a", "b", "c"}
+			for _, id := range ids {
+				st.HandIn(t, s.addr, id, "unsafe", 0, 15*time.Second)
+			}
+			failing.Store(true)
+			p.Change(st.Target("s-0", e.Addr, 0, "SERVING"))
+			time.Sleep(1500 * time.Millisecond)
+			select {
+			case c := <-e.Calls:
+				t.Errorf("%s is sent, and nobody would know after a kill", c.ID)
+			case n := <-p.Notices:
+				t.Errorf("%+v", n)
+			default:
+			}
+			failing.Store(false)
+			for range ids {
+				select {
+				case <-e.Calls:
+				case n := <-p.Notices:
+					t.Fatalf("%+v", n)
+				case <-time.After(3 * time.Second):
+					t.Fatal("nothing is sent when the disk works again")
+				}
+			}
+		})
+	}
+}
+
+// A destination that returns cold is not pushed over by what a restarted sender held for it: the next process goes on with
+// the outage that the one before saw.
+func TestASlowStartIsKeptAcrossARestart(t *testing.T) {
+	t.Parallel()
+	const (
+		usual    = 5.0 // calls a second before the outage
+		headroom = 2.0 // of the destination over them
+		held     = 60
+	)
+	for name, restart := range map[string]bool{"one process": false, "a restart": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var down atomic.Bool
+			e := st.NewEndpoint(t, func(c st.Call, conn net.Conn) bool {
+				if down.Load() {
+					return st.Reset(c, conn)
+				}
+				time.Sleep(10 * time.Millisecond)
+				return st.Status(200)(c, conn)
+			})
+			p := st.NewPlatform(t, e.Addr)
+			state := t.TempDir()
+			edit := func(c *Config) { c.State, c.Settings.MostHeld, c.Settings.OverloadFor = state, 200, 2*time.Second }
+			s := live(t, OperatingSystem(), p, edit)
+			for n := range int(3 * usual) {
+				st.HandIn(t, s.addr, "usual"+strconv.Itoa(n), "safe", 0, 15*time.Second)
+				e.Next(t)
+				time.Sleep(time.Duration(float64(time.Second) / usual))
+			}
+			down.Store(true)
+			for n := range held {
+				st.HandIn(t, s.addr, "held"+strconv.Itoa(n), "safe", 0, 15*time.Second)
+			}
+			time.Sleep(1500 * time.Millisecond) // until the outage has shown
+			if restart {
+				s.stop()
+			}
+			down.Store(false)
+			for len(e.Calls) > 0 {
+				<-e.Calls
+			}
+			if restart {
+				s = live(t, OperatingSystem(), p, edit)
+			}
+			rules := s.c.Settings
+			time.Sleep(rules.OverloadFor)
+			share := rules.StartCapacity + (1-rules.StartCapacity)*rules.OverloadFor.Seconds()/rules.Cold.Seconds()
+			n := rules.FallMultiple * share * usual * headroom * rules.OverloadFor.Seconds()
+			calls := len(e.Calls)
+			if bears := n + 3*math.Sqrt(n) + 3; float64(calls) > bears || calls == 0 {
+				t.Errorf("%d calls in %v after its return, it bears %.1f", calls, rules.OverloadFor, bears)
+			}
+		})
+	}
+}
