End the repeats of a key early enough for a sender that is held up for 0.15 s

Cause: lastBegin, mayRepeat and send allowed a repeat up to a step (5 ms) before the key's window ends, while the terms have deadlines and windows allow for 0.15 s between reading the clock and writing. Change: holdUp comes off the window at all three places. Ruled out: a check at the write alone, as the hold-up may come behind it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -51,7 +51,10 @@
 	holdFull    = 0.95                   // share of the room for messages from which some are refused
 	askAgain    = time.Second            // pause before a failed request for the list is repeated
 	shareSpan   = 3 * time.Second        // span over which a tenant's rate is seen
-	shareBeyond = 1.5                    // a tenant's rate over its share from which it is beyond it
+	// holdUp is how long a sender may be held up between reading its clock and writing (the
+	// operators' terms). A repeat has to arrive within its key's window all the same.
+	holdUp      = 150 * time.Millisecond
+	shareBeyond = 1.5 // a tenant's rate over its share from which it is beyond it
 	never       = time.Duration(math.MaxInt64)
 )
 
@@ -333,7 +336,7 @@
 	if !m.mayRun || m.class.Effect == Safe {
 		return true
 	}
-	return m.class.Effect == Keyed && at+b.s.Step+m.route().quickest < m.firstRun+m.class.KeyWindow
+	return m.class.Effect == Keyed && at+holdUp+b.s.Step+m.route().quickest < m.firstRun+m.class.KeyWindow
 }
 
 // lastBegin is the latest time at which a call of m to r may begin: it takes as long as the quickest one
@@ -341,7 +344,7 @@
 func (b *Brain) lastBegin(m *message, r *route) time.Duration {
 	last := m.Deadline - max(r.quickest, b.s.Step)
 	if m.mayRun && m.class.Effect == Keyed {
-		last = min(last, m.firstRun+m.class.KeyWindow-r.quickest-b.s.Step)
+		last = min(last, m.firstRun+m.class.KeyWindow-holdUp-r.quickest-b.s.Step)
 	}
 	return last
 }
@@ -713,7 +716,7 @@
 		if m.mayRun {
 			from = m.firstRun
 		}
-		restartable = b.now+tau+2*b.s.Step+r.quickest < from+m.class.KeyWindow
+		restartable = b.now+tau+holdUp+2*b.s.Step+r.quickest < from+m.class.KeyWindow
 	}
 	if m.most > 0 && m.tries()+1 >= m.most {
 		restartable = false
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -262,7 +262,7 @@
 	r.step(r.end(first, Broken))
 	r.now += time.Second
 	again := r.step(Alarm{})[0]
-	if want := 4*time.Second - 200*ms - 5*ms; again.Begin != want {
+	if want := 4*time.Second - holdUp - 200*ms - 5*ms; again.Begin != want {
 		t.Errorf("a keyed repeat begins within %v, want %v", again.Begin, want)
 	}
 }
