Keep outages and slow starts across a restart

Cause: which routes are in an outage or cold lived in the process alone. A sender that was killed while it held many messages for a destination that was down sent them all at its return. Ruled out: keeping all that the Brain remembers, whose histograms are a hundred times as large.

--- a/brain/api.go
+++ b/brain/api.go
@@ -83,7 +83,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, WaitTold, Withdrawn, ListNews, NewSettings and Alarm.
+// Event is one of Message, AttemptEnd, WaitTold, KnownOutages, Withdrawn, ListNews, NewSettings and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
@@ -203,7 +203,7 @@
 func (NewSettings) event() {}
 func (Alarm) event()       {}
 
-// Action is one of Send, Refuse, Fail, Cancel, Withhold, CloseIdle, SetAlarm, WatchList and Log.
+// Action is one of Send, Refuse, Fail, Cancel, Withhold, CloseIdle, SetAlarm, WatchList, NoteOutages and Log.
 type Action interface{ action() }
 
 // Send calls an endpoint with a message and gives the attempt up after Timeout. A call that has to wait for its
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -227,7 +227,7 @@
 // open reports whether r may get a call now; if not but later, the alarm is set for then.
 func (b *Brain) open(r *route) bool {
 	if r.state == cold && b.now-r.since > b.s.Cold {
-		r.state, r.since = well, b.now
+		b.enter(r, well)
 	}
 	if r.state == well && b.silent(r, min(inRow/2, b.enough(r))-1) {
 		b.goOut(r)
@@ -267,7 +267,8 @@
 		}
 		r.outAt = b.now
 	}
-	r.state, r.since, r.probes, r.tokens, r.filled = out, b.now, 0, b.spread(), b.now
+	b.enter(r, out)
+	r.probes, r.tokens, r.filled = 0, b.spread(), b.now
 	r.window, r.reopens = 1, 0
 	b.log(r, "out: calls fail, are refused or go unanswered; one call at a time")
 }
@@ -291,6 +292,8 @@
 			b.admit(e)
 		case AttemptEnd:
 			b.ended(e)
+		case KnownOutages:
+			b.recallOutages(e.Outages)
 		case WaitTold:
 			if at := b.endpoints[e.Endpoint]; at != nil {
 				b.heedWait(b.dests[at.Destination], at.route, e.Wait)
@@ -322,6 +325,7 @@
 	b.makeRoom()
 	b.sendAll()
 	b.closeIdle()
+	b.noteOutages()
 	if b.wake < b.alarm {
 		b.alarm = max(b.wake, now+b.s.Step)
 		b.acts = append(b.acts, SetAlarm{b.alarm})
@@ -954,7 +958,8 @@
 
 // warmUp ends an outage: r is cold from now on.
 func (b *Brain) warmUp(r *route, tokens float64) {
-	r.state, r.since, r.window, r.tokens, r.filled, r.reopens = cold, b.now, 1, tokens, b.now, 0
+	b.enter(r, cold)
+	r.window, r.tokens, r.filled, r.reopens = 1, tokens, b.now, 0
 	r.fails = min(r.fails, failing)
 	b.log(r, "answers again; warming up")
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -48,6 +48,9 @@
 	oracle
 	tried, done fading // calls sent, and served
 	name        uint32
+	destination DestinationID
+	endpoint    EndpointID // where routes are apart
+	apart       bool
 	window      float64
 	calls       int // out now
 	halvedAt    time.Duration
@@ -80,8 +83,11 @@
 	shares      int // messages that may travel in one call
 }
 
-func (b *Brain) newRoute(id uint32) *route {
-	r := &route{name: id, window: 1, tokens: 1, filled: b.now, lastServed: b.now, refusedAt: -never / 2, logged: -never / 2}
+func (b *Brain) newRoute(line Endpoint, apart bool) *route {
+	r := &route{name: uint32(line.Destination), destination: line.Destination, window: 1, tokens: 1, filled: b.now, lastServed: b.now, refusedAt: -never / 2, logged: -never / 2}
+	if apart {
+		r.name, r.endpoint, r.apart = uint32(line.ID), line.ID, true
+	}
 	b.routes = append(b.routes, r)
 	return r
 }
@@ -185,6 +191,7 @@
 	came      fading           // messages taken
 	fresh     int              // of them in this batch
 	adopted   map[uint64]*call // calls that another process had out
+	changed   []*route         // whose state has changed in this batch
 }
 
 // New makes the decisions of one sender that knows nothing yet but its settings.
@@ -240,10 +247,10 @@
 			b.endpoints[line.ID] = e
 		}
 		if line.Kind < len(b.s.Kinds) && b.s.Kinds[line.Kind].Apart {
-			e.route = b.newRoute(uint32(line.ID))
+			e.route = b.newRoute(line, true)
 		} else {
 			if d.shared == nil {
-				d.shared = b.newRoute(uint32(line.Destination))
+				d.shared = b.newRoute(line, false)
 			}
 			e.route = d.shared
 		}
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -44,12 +44,14 @@
 
 // record is one line. Times are the clock's, which the first line of a file tells how to read; without it they are Unix time.
 type record struct {
-	Op string `json:"op"` // take, send, end, over, told, past, clock, list
+	Op string `json:"op"` // take, send, end, over, told, past, clock, list, outages
 	ID string `json:"id"`
 
 	Version int64    `json:"version,omitempty"` // list: of the endpoint list, and what has changed in it
 	Targets []Target `json:"targets,omitempty"`
 
+	Outages []storedOutage `json:"outages,omitempty"` // outages: changes
+
 	Clock *epoch `json:"clock,omitempty"` // clock: how the times of all records are to be read
 
 	// take: the message as its client handed it in; in a compacted file with what came of it so far
@@ -168,6 +170,7 @@
 	failed bool      // the last write failed: nothing more is written until a compaction succeeds
 	tried  time.Time // the last compaction
 	list   listMemory
+	outage outageMemory
 	byID   map[string]*stored
 	order  []*stored // in the order taken; ended ones are dropped when compacting
 
@@ -223,7 +226,8 @@
 // openJournal reads what an earlier process left and begins a compacted file.
 // It sets the clock to that of the earlier process.
 func openJournal(files FileSystem, clock *clock, dir string, budget int64) (*journal, error) {
-	j := &journal{files: files, clock: clock, path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}, live: clockCost + lineCost, list: listMemory{most: budget / listPart}}
+	j := &journal{files: files, clock: clock, path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}, live: clockCost + 2*lineCost,
+		list: listMemory{most: budget / listPart}, outage: outageMemory{most: budget / outagePart}}
 	old, err := files.OpenFile(j.path, os.O_RDONLY, 0)
 	if err == nil {
 		err = j.replay(old)
@@ -265,6 +269,8 @@
 			}
 		case rec.Op == "list":
 			j.tookList(rec.Version, rec.Targets)
+		case rec.Op == "outages":
+			j.tookOutages(rec.Outages)
 		case rec.Op == "past":
 			if age := j.clock.now() - rec.At; age < 2*endedFor {
 				j.keep(rec.ID, rec.At)
@@ -410,6 +416,20 @@
 	j.tookList(version, changes)
 }
 
+// noteOutages adds a record on changes of outages; flush writes it.
+func (j *journal) noteOutages(changes []storedOutage) {
+	if _, err := encode(&j.buf, &record{Op: "outages", Outages: changes}); err != nil {
+		j.failed = true
+	}
+	j.tookOutages(changes)
+}
+
+func (j *journal) tookOutages(changes []storedOutage) {
+	j.live -= j.outage.cost
+	j.outage.note(changes)
+	j.live += j.outage.cost
+}
+
 func (j *journal) tookList(version int64, changes []Target) {
 	j.live -= j.list.cost
 	j.list.note(version, changes)
@@ -472,6 +492,14 @@
 			return err
 		}
 	}
+	if len(j.outage.outages) > 0 {
+		n, err := encode(w, &record{Op: "outages", Outages: j.outage.outages})
+		size += int64(n)
+		if err != nil {
+			f.Close()
+			return err
+		}
+	}
 	kept := make([]*stored, 0, len(j.byID))
 	for _, g := range []generation{j.endedBefore, j.ended} {
 		for id, at := range g.at {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -372,6 +372,7 @@
 		s.brain.Recall(st.Memory)
 	} else {
 		s.step(ctx, []brain.Event{s.news(s.journal.list.applyTo(s.c.Known), true)})
+		s.step(ctx, []brain.Event{s.list.knownOutages(s.journal.outage.outages)})
 		select {
 		case e := <-s.events:
 			events = append(events, s.take(ctx, e)...)
@@ -659,6 +660,8 @@
 			closed = s.close(closed, a.Message, handedBack, a.HoldOff)
 		case brain.Fail:
 			closed = s.close(closed, a.Message, givenUp, 0)
+		case brain.NoteOutages:
+			s.journal.noteOutages(s.list.storedOutages(a.Outages))
 		}
 	}
 	written := s.flush()
