Send nothing while the disk fails, and count what could not be written down as no attempt

Cause: a send whose record could not be written came back as NotSent, one of the message's attempts; at 0.15 to 2.4 s each, a disk that failed for some seconds used all of them up and the message was given up with no call (call, brain.tries). Measured: TestADiskThatFailsForAWhileCostsNoAttempt had its messages given up after 0.3 s; now they go out as the disk works again. Ruled out: sending unwritten, as after a kill nobody would know that the message may have run.

--- a/brain/api.go
+++ b/brain/api.go
@@ -83,7 +83,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, WaitTold, KnownOutages, Withdrawn, ListNews, NewSettings and Alarm.
+// Event is one of Message, AttemptEnd, WaitTold, KnownOutages, Storage, Withdrawn, ListNews, NewSettings and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
@@ -125,7 +125,8 @@
 // Outcome is how an attempt ended.
 type Outcome uint8
 
-// The outcomes. Refused, ConnectFailed and NotSent prove that the attempt never ran.
+// The outcomes. Refused, ConnectFailed, NotSent and NotBegun prove that the attempt never ran. NotBegun is no attempt at all:
+// the sender could not write down that it was about to be made.
 const (
 	Served Outcome = iota
 	Errored
@@ -135,10 +136,11 @@
 	Broken
 	Cancelled
 	NotSent
+	NotBegun
 )
 
 var outcomeNames = [...]string{Served: "served", Errored: "errored", Refused: "refused", TimedOut: "timed_out",
-	ConnectFailed: "connect_failed", Broken: "broken", Cancelled: "cancelled", NotSent: "not_sent"}
+	ConnectFailed: "connect_failed", Broken: "broken", Cancelled: "cancelled", NotSent: "not_sent", NotBegun: "not_begun"}
 
 // String is the outcome's name in logs and figures.
 func (o Outcome) String() string {
@@ -169,6 +171,9 @@
 	Wait     time.Duration
 }
 
+// Storage says whether the sender can write down what it does. While it cannot, nothing is sent.
+type Storage struct{ Failing bool }
+
 // Withdrawn says that nobody wants the message any more.
 type Withdrawn struct{ Message MessageID }
 
@@ -198,6 +203,7 @@
 func (Message) event()     {}
 func (AttemptEnd) event()  {}
 func (WaitTold) event()    {}
+func (Storage) event()     {}
 func (Withdrawn) event()   {}
 func (ListNews) event()    {}
 func (NewSettings) event() {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -292,6 +292,8 @@
 			b.admit(e)
 		case AttemptEnd:
 			b.ended(e)
+		case Storage:
+			b.halted = e.Failing
 		case KnownOutages:
 			b.recallOutages(e.Outages)
 		case WaitTold:
@@ -478,6 +480,9 @@
 
 // sendAll fills the free slots, the best message first.
 func (b *Brain) sendAll() {
+	if b.halted {
+		return
+	}
 	type offer struct {
 		m     *message
 		e     *endpoint
@@ -813,12 +818,15 @@
 	// Broken sooner than any call was served, on a connection that had been idle: that was dropped meanwhile,
 	// and tells nothing of the destination. The call may have run, but its repeat need not wait.
 	dropped := e.Outcome == Broken && e.Idle > 0 && e.Elapsed < a.route.quickest
-	if !a.booked && e.Outcome != NotSent && !dropped {
+	if !a.booked && e.Outcome != NotSent && e.Outcome != NotBegun && !dropped {
 		a.booked = true
 		b.judge(m, a, e)
 	}
 	b.learn(a, e)
 	switch e.Outcome {
+	case NotBegun:
+		m.Tried-- // it does not count
+		b.neverRan(m)
 	case Refused, ConnectFailed, NotSent:
 		b.neverRan(m)
 	case TimedOut, Broken, Cancelled:
@@ -833,7 +841,7 @@
 	}
 	if m.out == 0 {
 		m.dest.waiting, m.unplaced = append(m.dest.waiting, m), e.Outcome == ConnectFailed
-		if e.Outcome != TimedOut && !dropped {
+		if e.Outcome != TimedOut && e.Outcome != NotBegun && !dropped {
 			m.notBefore = b.now + retryPause<<min(len(m.attempts)-1, 4)
 		}
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -191,6 +191,7 @@
 	came      fading           // messages taken
 	fresh     int              // of them in this batch
 	adopted   map[uint64]*call // calls that another process had out
+	halted    bool             // nothing may be sent: it could not be written down
 	changed   []*route         // whose state has changed in this batch
 }
 
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -145,6 +145,14 @@
 	}
 }
 
+// takeBackTry forgets an attempt that was never begun, as its record could not be written.
+func (m *message) takeBackTry(place int) {
+	if place == len(m.Tries)-1 {
+		m.Tries = m.Tries[:place]
+		m.base--
+	}
+}
+
 // firstRun is the first attempt that may have run.
 func (m *stored) firstRun() (try, bool) {
 	for _, t := range m.Tries {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -88,6 +88,8 @@
 	out       int // calls out
 	shared    int // messages so far that went along in another's call
 	alarm     *time.Timer
+	storage   *time.Timer // when a journal that could not be written is tried again
+	halted    bool        // the Brain has been told that it cannot be written
 	unwritten atomic.Bool // the journal's last write failed
 	quitting  bool        // no more steps: what comes in is only written down
 	numbered  uint64      // calls so far, those of the process before included
@@ -136,7 +138,7 @@
 	s := &Sender{env: env, c: c, folder: c.State, log: log, clock: newClock(env.Wall()), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery, c.Settings.Senders), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
-		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
+		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), storage: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
 	s.pool.forwarded = s.figures.forwarded
 	s.guard = newGuard(log, s.figures)
 	s.pool.guard = s.guard
@@ -275,6 +277,8 @@
 			s.turn(work, e)
 		case <-s.alarm.C:
 			s.turn(work, brain.Alarm{})
+		case <-s.storage.C:
+			s.repair(work)
 		case <-idle.C:
 			s.publish()
 			for _, e := range s.list.byNumber {
@@ -478,6 +482,7 @@
 	switch e := e.(type) {
 	case brain.Alarm:
 		return one(e)
+	case brain.Storage: // the step tells it
 	case submission:
 		return one(s.submitted(e))
 	case callEnd:
@@ -595,6 +600,9 @@
 			s.figures.succeeded(m.Class)
 		case e.Over:
 			s.end(m, record{How: answered})
+		case e.Outcome == brain.NotBegun:
+			s.figures.reason(reasonRetried, e.Outcome.String())
+			m.takeBackTry(m.base + e.attempt)
 		default:
 			s.figures.reason(reasonRetried, e.Outcome.String())
 			never := e.Outcome == brain.Refused || e.Outcome == brain.ConnectFailed || e.Outcome == brain.NotSent
@@ -635,19 +643,38 @@
 	return news
 }
 
-// flush writes the journal. What fails here fails again at the next message, which is refused.
+// flush writes the journal. What fails here is tried again by and by, and with the next message, which is refused.
 func (s *Sender) flush() bool {
 	err := s.journal.flush()
 	s.unwritten.Store(s.journal.failed)
 	if err != nil {
 		s.log.Warn("journal", "err", err)
 	}
+	if s.journal.failed {
+		s.storage.Reset(tryAgain)
+	}
 	return err == nil
 }
 
+// repair tries to write the journal anew after a write has failed, and tells the Brain whether it can be written.
+func (s *Sender) repair(ctx context.Context) {
+	if s.journal == nil || !s.journal.failed && !s.halted {
+		return
+	}
+	if s.journal.failed && s.journal.compact() != nil {
+		s.storage.Reset(tryAgain)
+	}
+	s.unwritten.Store(s.journal.failed)
+	s.turn(ctx, brain.Storage{Failing: s.journal.failed})
+}
+
 // step lets the Brain decide, writes down what it does, and only then does it.
 func (s *Sender) step(ctx context.Context, events []brain.Event) {
 	now := s.clock.now()
+	if s.journal.failed != s.halted { // nothing is decided in vain
+		s.halted = s.journal.failed
+		events = append([]brain.Event{brain.Storage{Failing: s.halted}}, events...)
+	}
 	actions := s.brain.Step(now, events)
 	var closed []closedMessage
 	for _, a := range actions {
@@ -971,7 +998,7 @@
 		switch {
 		case !written:
 			for i := range ends {
-				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotSent}
+				ends[i] = brain.AttemptEnd{Endpoint: e.number, Outcome: brain.NotBegun}
 			}
 		case len(items) == 1:
 			ends[0] = s.pool.call(call, begin, e, items[0], timeout)
