Add three failing tests: requests passed on, a hand-over without a disk, logs nobody takes

By reading, each forced by its test. A log whose reader has gone ends the process by SIGPIPE with its first line; one whose reader stands still stops every decision. A hand-over while the disk fails gives a delivered message to the newcomer as one that may have run. A request passed on to a successor that dies while this process leaves has no answer.

--- a/cmd/saffronyard/main_test.go
+++ b/cmd/saffronyard/main_test.go
@@ -61,12 +61,18 @@
 func start(t *testing.T, p *st.Platform, state string) *process {
 	t.Helper()
 	c := launch(t, p, state, freeAddr(t), nil)
+	c.waitReady(t)
+	return c
+}
+
+func (c *process) waitReady(t *testing.T) {
+	t.Helper()
 	for end := time.Now().Add(st.Wait); ; time.Sleep(10 * time.Millisecond) {
 		resp, err := http.Get("http://" + c.addr + "/-/ready")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				return c
+				return
 			}
 		}
 		if time.Now().After(end) {
@@ -97,6 +103,12 @@
 
 // launch starts a sender's process.
 func launch(t *testing.T, p *st.Platform, state, addr string, socket *os.File, env ...string) *process {
+	t.Helper()
+	return launchLogging(t, p, state, addr, socket, os.Stderr, env...)
+}
+
+// launchLogging starts a sender's process whose log goes to a file.
+func launchLogging(t *testing.T, p *st.Platform, state, addr string, socket, log *os.File, env ...string) *process {
 	t.Helper()
 	raw, err := json.Marshal(st.Config(p, state))
 	if err != nil {
@@ -112,7 +124,7 @@
 	if socket != nil {
 		c.ExtraFiles = []*os.File{socket}
 	}
-	c.Stderr = os.Stderr
+	c.Stderr = log
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -415,3 +427,37 @@
 		}
 	}
 }
+
+// A log that nobody takes stops no sender: neither one whose reader has gone nor one whose reader stands still.
+func TestALogThatNobodyTakes(t *testing.T) {
+	for name, gone := range map[string]bool{"its reader has gone": true, "its reader stands still": false} {
+		t.Run(name, func(t *testing.T) {
+			good := st.NewEndpoint(t, st.Status(200))
+			p := st.NewPlatform(t, good.Addr)
+			r, w, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.Close()
+			defer w.Close()
+			c := launchLogging(t, p, t.TempDir(), freeAddr(t), nil, w, "EDGE_LOG_LEVEL=debug")
+			c.waitReady(t)
+			w.Close()
+			if gone {
+				r.Close()
+			}
+			client := &http.Client{Timeout: 2 * time.Second}
+			for n := range 300 { // some 600 bytes of log each
+				resp, err := client.Do(st.Message(t, c.addr, "m"+strconv.Itoa(n), "safe", 0, 5*time.Second, "body"))
+				if err != nil {
+					t.Fatalf("message %d: %v", n, err)
+				}
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusAccepted {
+					t.Fatalf("message %d: %s", n, resp.Status)
+				}
+				good.Next(t)
+			}
+		})
+	}
+}
--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -401,3 +403,94 @@
 		t.Errorf("the endpoint got %s", c.ID)
 	}
 }
+
+// What was passed on to a successor that dies, while nobody can take the journal again, gets an answer: it may have been taken
+// on, so nothing is promised.
+func TestRequestsPassedOnToASuccessorThatDiesWhileLeavingAreAnswered(t *testing.T) {
+	t.Parallel()
+	hung := st.NewEndpoint(t, st.Silent)
+	addr, listen := platformSocket(t)
+	l := &leaver{Sender: newTest(t, st.NewPlatform(t, hung.Addr), nil), done: make(chan error, 1)}
+	l.grace, l.leaveAfter = 0, 2*time.Second
+	var ctx context.Context
+	ctx, l.stop = context.WithCancel(context.Background())
+	go func() { l.done <- l.Run(ctx, listen) }()
+	c := dial(t, addr)
+	r := bufio.NewReader(c)
+	if resp := handInOn(t, c, r, st.Message(t, addr, "out", "unsafe", 0, 15*time.Second, "x")); resp.StatusCode != http.StatusAccepted {
+		t.Fatal(resp.Status)
+	}
+	hung.Next(t)
+	successor, dec, _ := takeOver(t, l.folder)
+	io.WriteString(c, written(t, st.Message(t, addr, "passed", "unsafe", 0, 15*time.Second, "x")))
+	for {
+		var p packet
+		if err := dec.Decode(&p); err != nil {
+			t.Fatal(err)
+		}
+		if p.Submit != nil {
+			break
+		}
+	}
+	l.stop()
+	for leaving := false; !leaving; time.Sleep(time.Millisecond) {
+		l.server.mu.Lock()
+		leaving = l.server.leaving
+		l.server.mu.Unlock()
+	}
+	successor.close()
+	c.SetReadDeadline(time.Now().Add(400 * time.Millisecond)) // as long as a client waits
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != http.StatusInternalServerError {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	l.left(t)
+}
+
+// While the journal cannot be written it does not hold how messages have ended: it is not handed over then, and a newcomer
+// that waits gets it whole.
+func TestNoHandOverWhileTheDiskFails(t *testing.T) {
+	t.Parallel()
+	good := st.NewEndpoint(t, st.Status(200))
+	p := st.NewPlatform(t, good.Addr)
+	state, admin := t.TempDir(), freeAddr(t)
+	var failing atomic.Bool
+	env := OperatingSystem()
+	env.Files = failingFiles{write: func([]byte) error {
+		if failing.Load() {
+			return syscall.ENOSPC
+		}
+		return nil
+	}}
+	gated := make(chan struct{})
+	slow := st.NewEndpoint(t, gate(gated))
+	p.Change(st.Target("s-1", slow.Addr, 1, "SERVING"))
+	first := live(t, env, p, func(c *Config) { c.State, c.Admin = state, admin })
+	st.HandIn(t, first.addr, "m", "unsafe", 1, 15*time.Second)
+	slow.Next(t)
+	failing.Store(true)
+	close(gated) // it is delivered, and that cannot be written
+	wantFigures(t, admin, map[string]int{"succeeded.unsafe": 1, "outstanding": 0})
+
+	took := make(chan struct{})
+	go func() {
+		defer close(took)
+		l, _, _ := takeOver(t, state)
+		defer l.close()
+		j, err := openJournal(osFiles{}, newClock(time.Now()), state, 1<<20)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if m := j.byID["m"]; m != nil {
+			t.Errorf("a message that was delivered is handed over as held: %+v", m.Tries)
+		}
+	}()
+	select {
+	case <-took:
+		t.Error("the journal is handed over while it cannot be written")
+	case <-time.After(500 * time.Millisecond):
+	}
+	failing.Store(false)
+	st.Receive(t, took)
+}
