Hold nothing up for a log that nobody takes, and survive a reader that goes

Cause: lines were written to standard error by whoever logged them, the loop among them: a full pipe held every decision up, and a closed one raised SIGPIPE, which ends a Go process when it writes to standard error. Ruled out: a deadline on the write, which pipes to files and terminals do not have.

--- a/cmd/saffronyard/main.go
+++ b/cmd/saffronyard/main.go
@@ -9,9 +9,7 @@
 )
 
 func main() {
-	log := sender.NewLogger()
-	if err := sender.RunProcess(sender.OperatingSystem(), log); err != nil {
-		log.Error("saffronyard", "err", err)
+	if sender.RunProcess(sender.OperatingSystem()) != nil { // it has logged why
 		os.Exit(1)
 	}
 }
--- a/internal/emulator/shim.go
+++ b/internal/emulator/shim.go
@@ -193,5 +193,5 @@
 		}
 		return nil
 	}
-	return sender.RunProcess(env, sender.NewLogger())
+	return sender.RunProcess(env)
 }
--- a/internal/sender/process.go
+++ b/internal/sender/process.go
@@ -18,12 +18,23 @@
 
 // RunProcess is a sender as a process of its own: it reads its configuration, listens, and serves until SIGTERM. SIGHUP
 // makes it read the configuration again.
-func RunProcess(env Environment, log *slog.Logger) error {
+func RunProcess(env Environment) error {
+	log, flush := NewLogger()
+	defer flush()
+	err := runProcess(env, log)
+	if err != nil {
+		log.Error("the sender ends", "err", err)
+	}
+	return err
+}
+
+func runProcess(env Environment, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hup := make(chan os.Signal, 1) // from the first: unheeded it would end the process
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may go: the write fails then, as any other
 	c, err := LoadConfig(ctx, log, env, os.Getenv)
 	if err != nil {
 		return err
@@ -65,13 +76,3 @@
 		}
 	}
 }
-
-// NewLogger writes to standard error from the level that EDGE_LOG_LEVEL names, else from info. At debug each message is
-// followed by its id.
-func NewLogger() *slog.Logger {
-	var level slog.Level
-	if level.UnmarshalText([]byte(os.Getenv("EDGE_LOG_LEVEL"))) != nil {
-		level = slog.LevelInfo
-	}
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-}
