Answer what was passed on to a dead successor, and hand nothing over without the disk

Change: a leaving process answers 500 to what it had sent to the dead successor and 503 to what it had not; a newcomer that asks while the disk fails is turned away and asks again. TestWhatComesAfterASuccessorsDeathWhileLeavingIsRefused passes over a request that got a 500 as it had been passed on; before, that had no answer at all. Ruled out: 503 for what was sent, as the dead one may have written it down.

--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -141,6 +141,16 @@
 	}
 }
 
+// isGone reports whether the link has ended.
+func (l *link) isGone() bool {
+	select {
+	case <-l.gone:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *link) close() {
 	l.once.Do(func() {
 		close(l.gone)
@@ -337,6 +347,17 @@
 	return list
 }
 
+// mayHandOver reports whether the journal holds all that a newcomer has to know. If not, that has to ask again.
+func (s *Sender) mayHandOver(ctx context.Context, to *link) bool {
+	if !s.journal.failed || s.journal.compact() == nil {
+		return true
+	}
+	s.log.Warn("no hand-over while the journal cannot be written")
+	to.close()
+	go s.awaitSuccessor(ctx)
+	return false
+}
+
 // handOver gives all up to a newcomer, between two steps.
 func (s *Sender) handOver(to *link) {
 	s.successor, s.handed = to, true
@@ -414,6 +435,8 @@
 			s.log.Warn("the successor is gone")
 			if !s.quitting {
 				go s.relock(ctx)
+			} else {
+				s.abandonPassedOn()
 			}
 		case e.Answer != nil:
 			if sub, ok := s.passed[e.Answer.Seq]; ok {
@@ -434,15 +457,44 @@
 // does not any more, nobody can have taken the request on.
 func (s *Sender) passOn(sub submission) {
 	if s.successor == nil && s.quitting {
-		s.figures.declined(sub.Class)
-		sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, "shutting down"}
+		s.refuseLeaving(sub)
 		return
 	}
 	s.seq++
-	s.passed[s.seq] = sub
-	if s.successor != nil {
-		s.successor.send(packet{Submit: &relayed{s.seq, sub.record}})
+	to := s.successor
+	if to != nil && to.isGone() { // its death is about to be told
+		to = nil
 	}
+	s.passed[s.seq] = passedOn{sub, to != nil}
+	if to != nil {
+		to.send(packet{Submit: &relayed{s.seq, sub.record}})
+	}
+}
+
+// abandonPassedOn answers what was kept for a successor that is gone, where this process does not go on either. The
+// dead one may have taken on what was sent to it, so nothing is promised of that.
+func (s *Sender) abandonPassedOn() {
+	for seq, p := range s.passed {
+		delete(s.passed, seq)
+		if p.sent {
+			s.figures.aborted(p.Class)
+			p.answer <- answerLine{http.StatusInternalServerError, 0, givenUp}
+			continue
+		}
+		s.refuseLeaving(p.submission)
+	}
+}
+
+// refuseLeaving answers a request that nobody has taken on, as the process ends.
+func (s *Sender) refuseLeaving(sub submission) {
+	s.figures.declined(sub.Class)
+	sub.answer <- answerLine{http.StatusServiceUnavailable, s.c.Settings.MaxHoldOff, "shutting down"}
+}
+
+// passedOn is a request that waits for the successor's answer.
+type passedOn struct {
+	submission
+	sent bool // to it
 }
 
 // relayedSubmission is a request that came to the process before this one. Its answer goes back there.
@@ -559,7 +611,7 @@
 	s.log.Warn("serving again after the successor's death", "held", s.held)
 	go s.awaitSuccessor(ctx)
 	waiting := s.passed
-	s.passed = map[uint64]submission{}
+	s.passed = map[uint64]passedOn{}
 	var events []brain.Event
 	for _, m := range old {
 		for attempt, c := range m.calls {
@@ -568,8 +620,8 @@
 			}
 		}
 	}
-	for _, sub := range waiting { // the dead one may have taken it on: then it is in the journal
-		events = append(events, s.take(ctx, sub)...)
+	for _, p := range waiting { // the dead one may have taken it on: then it is in the journal
+		events = append(events, s.take(ctx, p.submission)...)
 	}
 	s.step(ctx, events)
 	if !s.quitting && s.reopen != nil {
--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -347,6 +347,9 @@
 		io.WriteString(c, "y")
 		c.SetDeadline(time.Now().Add(400 * time.Millisecond)) // as long as a client waits
 		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			if resp.StatusCode == http.StatusInternalServerError {
+				continue // passed on before the death was noticed: it may have been taken on
+			}
 			refused = resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""
 			break
 		}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -105,7 +105,7 @@
 	successor   *link        // it, while it runs
 	memory      brain.Memory // what was handed to it
 	rests       map[string]time.Duration
-	passed      map[uint64]submission // requests that it has not answered yet
+	passed      map[uint64]passedOn // requests that it has not answered yet
 	seq         uint64
 
 	grace, leaveAfter time.Duration
@@ -135,7 +135,7 @@
 
 // NewIn is New in an environment other than the operating system's. What fails for a moment is tried again until ctx ends.
 func NewIn(ctx context.Context, env Environment, c *Config, log *slog.Logger) (*Sender, error) {
-	s := &Sender{env: env, c: c, folder: c.State, log: log, clock: newClock(env.Wall()), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]submission{}, pool: newPool(c), figures: newFigures(c.Classes),
+	s := &Sender{env: env, c: c, folder: c.State, log: log, clock: newClock(env.Wall()), brain: brain.New(c.Settings, c.Seed), passed: map[uint64]passedOn{}, pool: newPool(c), figures: newFigures(c.Classes),
 		list: endpoints{byID: map[string]*endpoint{}}, disc: newDiscovery(c.Discovery, c.Settings.Senders), events: make(chan any, eventRoom),
 		asked: make(chan struct{}, 1), notices: make(chan []notice, 1), messages: map[brain.MessageID]*message{},
 		byID: map[string]*message{}, alarm: time.NewTimer(time.Hour), storage: time.NewTimer(time.Hour), grace: graceTime, leaveAfter: leaveTime}
@@ -292,6 +292,9 @@
 		case <-grace:
 			grace = nil
 			s.quitting = true
+			if s.handed && s.successor == nil {
+				s.abandonPassedOn() // the lock is not taken again from here on
+			}
 			s.withhold(func(*outCall) bool { return true })
 			s.log.Info("no call is begun any more", "held", s.held, "calls", s.out)
 			s.server.leave()
@@ -466,7 +469,7 @@
 	} else {
 		s.step(ctx, events)
 	}
-	if successor != nil {
+	if successor != nil && s.mayHandOver(ctx, successor) {
 		s.handOver(successor)
 	}
 }
