Let the soak upgrade senders, kill them at an answer and run them short of descriptors

Cause: hand-overs under load, kills right behind a 202 and real EMFILE were among no plan. Change: three further kinds of trouble; every second sender gets its socket passed; a folder of an earlier run is emptied, as ids that come again would be known.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -111,6 +111,10 @@
 			o.Seed = f.seed + uint64(n)
 			o.Folder = filepath.Join(folder, fmt.Sprint("seed", o.Seed))
 			o.Command = emulator.Command{Path: os.Args[0], Env: []string{senderVariable + "=1"}}
+			if err := os.RemoveAll(o.Folder); err != nil { // of an earlier run
+				outcomes[n] <- outcome{err: err}
+				return
+			}
 			report, err := emulator.Run(o)
 			if err != nil {
 				outcomes[n] <- outcome{err: fmt.Errorf("seed %d: %w", o.Seed, err)}
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -24,11 +24,12 @@
 	destinations []float64 // weight of each
 	rate         float64   // messages a second
 
-	mu   sync.Mutex
-	rand *rand.Rand
-	idle []*clientConn
-	next int
-	all  sync.WaitGroup
+	mu    sync.Mutex
+	armed chan struct{} // closed at the next answer that takes a message on; nil for none
+	rand  *rand.Rand
+	idle  []*clientConn
+	next  int
+	all   sync.WaitGroup
 }
 
 // clientConn is a connection that a client keeps.
@@ -132,6 +133,7 @@
 		switch {
 		case err == nil:
 			c.ledger.Answer(s.ID, resp.StatusCode)
+			c.answered(resp.StatusCode)
 			seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 			if resp.Close {
 				conn.Close()
@@ -153,6 +155,25 @@
 	}
 }
 
+// atNextAnswer is closed at the next answer that takes a message on.
+func (c *Clients) atNextAnswer() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.armed == nil {
+		c.armed = make(chan struct{})
+	}
+	return c.armed
+}
+
+func (c *Clients) answered(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.armed != nil && status == http.StatusAccepted {
+		close(c.armed)
+		c.armed = nil
+	}
+}
+
 func requestText(s Submission, body string) string {
 	text := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline-Ms: %d\r\n"+
 		"Content-Length: %d\r\nX-Addressing: dest=%d\r\n", s.ID, s.Effect, s.Deadline.Milliseconds(), len(body), s.Destination)
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -30,6 +30,9 @@
 	SendersKilled     TroubleKind = "senders are killed"
 	SendersReloaded   TroubleKind = "senders are reloaded"
 	SendersPaused     TroubleKind = "senders are held up"
+	SendersUpgraded   TroubleKind = "senders are upgraded"
+	KilledAtAnAnswer  TroubleKind = "senders are killed at an answer"
+	DescriptorsShort  TroubleKind = "descriptors are short"
 	ClockForward      TroubleKind = "clocks go forward"
 	ClockBack         TroubleKind = "clocks go back"
 	DiskFull          TroubleKind = "disks are full"
@@ -43,18 +46,19 @@
 // AllTroubles are the kinds that a plan draws from unless it is told others.
 var AllTroubles = []TroubleKind{EndpointsHang, EndpointsFail, EndpointsShut, EndpointsLimit, EndpointsBreak, EndpointsBabble,
 	EndpointsReplaced, LinksLate, LinksCut, LinksReset, LinksChopped, ClientsChopped, DiscoverySilent, WatchesLost, SendersTerminated,
-	SendersKilled, SendersReloaded, SendersPaused, ClockForward, ClockBack, DiskFull, DiskErrors, DiskTorn, AcceptFails,
+	SendersKilled, SendersReloaded, SendersPaused, SendersUpgraded, KilledAtAnAnswer, DescriptorsShort, ClockForward, ClockBack, DiskFull, DiskErrors, DiskTorn, AcceptFails,
 	ConnectFails, OpenFails}
 
 // lasting is the span, least and most, of the kinds that have one other than the usual.
 var lasting = map[TroubleKind][2]time.Duration{
-	DiscoverySilent: {2 * time.Second, 5 * time.Second},
-	EndpointsHang:   {time.Second, 5 * time.Second},
-	LinksCut:        {500 * time.Millisecond, 2 * time.Second},
-	SendersPaused:   {50 * time.Millisecond, 150 * time.Millisecond},
-	AcceptFails:     {300 * time.Millisecond, time.Second},
-	ConnectFails:    {300 * time.Millisecond, 1500 * time.Millisecond},
-	OpenFails:       {300 * time.Millisecond, 1200 * time.Millisecond},
+	DiscoverySilent:  {2 * time.Second, 5 * time.Second},
+	EndpointsHang:    {time.Second, 5 * time.Second},
+	LinksCut:         {500 * time.Millisecond, 2 * time.Second},
+	SendersPaused:    {50 * time.Millisecond, 150 * time.Millisecond},
+	DescriptorsShort: {200 * time.Millisecond, 1500 * time.Millisecond},
+	AcceptFails:      {300 * time.Millisecond, time.Second},
+	ConnectFails:     {300 * time.Millisecond, 1500 * time.Millisecond},
+	OpenFails:        {300 * time.Millisecond, 1200 * time.Millisecond},
 }
 
 var usuallyLasting = [2]time.Duration{600 * time.Millisecond, 2500 * time.Millisecond}
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,8 +14,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Command is how a sender's process is started. Its environment has the EDGE_ variables added, and shimVariable with
@@ -28,8 +32,10 @@
 const (
 	readyWithin = 10 * time.Second
 	readyLook   = 10 * time.Millisecond
-	killAfter   = 3700 * time.Millisecond // from SIGTERM to SIGKILL
-	restartRest = 600 * time.Millisecond  // from SIGKILL to the next start
+	// The operators' addresses of processes that come by upgrades have ports from here on.
+	upgradePorts = 9100
+	killAfter    = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	restartRest  = 600 * time.Millisecond  // from SIGKILL to the next start
 )
 
 // Process is one sender: its folder and addresses, and the process that runs at a time.
@@ -46,12 +52,20 @@
 	senders int
 	agent   *Agent
 	known   List
+	socket  *os.File // where clients connect, passed to each process; nil if it listens by itself
 
 	mu        sync.Mutex
 	discovery string
-	running   *exec.Cmd
-	exited    chan struct{} // of the one that runs
-	expected  bool          // it was told to end
+	upgrades  int
+	instance  // the one that clients are to come to
+}
+
+// instance is one process of a sender.
+type instance struct {
+	running  *exec.Cmd
+	exited   chan struct{}
+	expected *atomic.Bool // it was told to end
+	admin    string
 }
 
 func (p *Process) config() string { return filepath.Join(p.folder, "config.json") }
@@ -71,54 +85,124 @@
 	return os.Rename(p.config()+".new", p.config())
 }
 
+// passes reports whether the sender's processes get the socket for clients passed.
+func (p *Process) passes() bool { return p.socket != nil }
+
 // Start runs the sender and waits until it is ready.
 func (p *Process) Start() error {
-	if err := os.MkdirAll(filepath.Join(p.folder, "state"), 0o700); err != nil {
+	i, err := p.launch(p.Admin)
+	if err != nil {
 		return err
 	}
-	if err := p.writeConfig(); err != nil {
+	p.mu.Lock()
+	p.instance = *i
+	p.mu.Unlock()
+	p.ledger.Live(p.Number, Started, "")
+	return p.awaitReady(i)
+}
+
+// Upgrade starts the next process beside the one that runs, waits until that is ready, and ends the other.
+func (p *Process) Upgrade() error {
+	p.mu.Lock()
+	old := p.instance
+	p.mu.Unlock()
+	host, _, err := net.SplitHostPort(p.Admin)
+	if err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(p.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	p.upgrades++
+	next, err := p.launch(net.JoinHostPort(host, strconv.Itoa(upgradePorts+p.upgrades)))
 	if err != nil {
 		return err
 	}
+	if err := p.awaitHealthy(next); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.instance = *next
+	p.mu.Unlock()
+	old.expected.Store(true)
+	old.running.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-old.exited:
+		return nil
+	case <-time.After(killAfter):
+		old.running.Process.Kill()
+		<-old.exited
+		return fmt.Errorf("sender %d: the old process had to be killed after an upgrade", p.Number)
+	}
+}
+
+// launch starts a process of the sender.
+func (p *Process) launch(admin string) (*instance, error) {
+	if err := os.MkdirAll(filepath.Join(p.folder, "state"), 0o700); err != nil {
+		return nil, err
+	}
+	if err := p.writeConfig(); err != nil {
+		return nil, err
+	}
+	log, err := os.OpenFile(filepath.Join(p.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
 	defer log.Close()
 	shims, err := json.Marshal(p.Shims)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	cmd := exec.Command(p.command.Path, p.command.Args...)
 	cmd.Env = append(append(os.Environ(), p.command.Env...), "EDGE_CONFIG="+p.config(), "EDGE_LISTEN="+p.Addr,
-		"EDGE_ADMIN_ADDR="+p.Admin, "EDGE_LOG_LEVEL=debug", shimVariable+"="+string(shims), "TMPDIR="+p.folder)
+		"EDGE_ADMIN_ADDR="+admin, "EDGE_LOG_LEVEL=debug", shimVariable+"="+string(shims), "TMPDIR="+p.folder)
+	if p.passes() {
+		cmd.Env = append(cmd.Env, "EDGE_PASSED_SOCKET=3")
+		cmd.ExtraFiles = []*os.File{p.socket}
+	}
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
-		return err
+		return nil, err
 	}
-	exited := make(chan struct{})
-	p.mu.Lock()
-	p.running, p.exited, p.expected = cmd, exited, false
-	p.mu.Unlock()
-	p.ledger.Live(p.Number, Started, "")
+	i := &instance{running: cmd, exited: make(chan struct{}), expected: new(atomic.Bool), admin: admin}
 	go func() {
 		err := cmd.Wait()
-		p.mu.Lock()
-		expected := p.expected
-		p.mu.Unlock()
 		detail := ""
-		if !expected {
+		if !i.expected.Load() {
 			detail = fmt.Sprintf("unasked: %v", err)
 		}
-		p.ledger.Live(p.Number, Exited, detail)
-		close(exited)
+		p.mu.Lock()
+		serves := p.running == cmd
+		p.mu.Unlock()
+		if serves || detail != "" {
+			p.ledger.Live(p.Number, Exited, detail)
+		}
+		close(i.exited)
 	}()
+	return i, nil
+}
+
+// awaitReady waits until the sender takes clients.
+func (p *Process) awaitReady(i *instance) error {
+	err := p.await(i, p.ready)
+	if err == nil {
+		p.ledger.Live(p.Number, Ready, "")
+	}
+	return err
+}
+
+// awaitHealthy waits until a process says at the operators' address that it serves.
+func (p *Process) awaitHealthy(i *instance) error {
+	return p.await(i, func() bool {
+		reply, err := callAdmin(i.admin, "HEALTH")
+		return err == nil && reply == "ok\n"
+	})
+}
+
+func (p *Process) await(i *instance, ready func() bool) error {
 	for until := time.Now().Add(readyWithin); time.Now().Before(until); time.Sleep(readyLook) {
-		if p.ready() {
-			p.ledger.Live(p.Number, Ready, "")
+		if ready() {
 			return nil
 		}
 		select {
-		case <-exited:
+		case <-i.exited:
 			return fmt.Errorf("sender %d ended before it was ready", p.Number)
 		default:
 		}
@@ -149,7 +233,7 @@
 // Kill ends the process at once.
 func (p *Process) Kill() {
 	p.mu.Lock()
-	p.expected = true
+	p.expected.Store(true)
 	exited := p.exited
 	p.mu.Unlock()
 	p.ledger.Live(p.Number, Killed, "")
@@ -161,7 +245,7 @@
 // it did not end by itself.
 func (p *Process) Terminate() error {
 	p.mu.Lock()
-	p.expected = true
+	p.expected.Store(true)
 	exited := p.exited
 	p.mu.Unlock()
 	p.ledger.Live(p.Number, Terminated, "")
@@ -194,23 +278,57 @@
 	return nil
 }
 
-// Figures reads what the process reports of itself.
-func (p *Process) Figures() (map[string]int, error) {
-	c, err := net.DialTimeout("tcp", p.Admin, time.Second)
+// LimitDescriptors leaves the process no further descriptors for a time.
+func (p *Process) LimitDescriptors(d time.Duration) error {
+	p.mu.Lock()
+	running := p.running
+	p.mu.Unlock()
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", running.Process.Pid))
 	if err != nil {
-		return nil, err
+		return nil // it has just ended
+	}
+	var usual unix.Rlimit
+	if err := unix.Prlimit(running.Process.Pid, unix.RLIMIT_NOFILE, nil, &usual); err != nil {
+		return nil
+	}
+	short := usual
+	short.Cur = uint64(len(open))
+	if err := unix.Prlimit(running.Process.Pid, unix.RLIMIT_NOFILE, &short, nil); err != nil {
+		return nil
+	}
+	time.Sleep(d)
+	if err := unix.Prlimit(running.Process.Pid, unix.RLIMIT_NOFILE, &usual, nil); err != nil && !errors.Is(err, syscall.ESRCH) {
+		return fmt.Errorf("descriptors of sender %d: %w", p.Number, err)
+	}
+	return nil
+}
+
+// callAdmin makes one call at an operators' address.
+func callAdmin(addr, call string) (string, error) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return "", err
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := io.WriteString(c, "DUMP\n"); err != nil {
-		return nil, err
+	if _, err := io.WriteString(c, call+"\n"); err != nil {
+		return "", err
 	}
-	text, err := io.ReadAll(c)
+	reply, err := io.ReadAll(c)
+	return string(reply), err
+}
+
+// Figures reads what the process reports of itself.
+func (p *Process) Figures() (map[string]int, error) {
+	p.mu.Lock()
+	admin := p.admin
+	p.mu.Unlock()
+	text, err := callAdmin(admin, "DUMP")
 	if err != nil {
 		return nil, err
 	}
 	figures := map[string]int{}
-	for _, line := range strings.Split(string(text), "\n") {
+	for _, line := range strings.Split(text, "\n") {
 		name, value, found := strings.Cut(line, "=")
 		if n, err := strconv.Atoi(value); found && err == nil {
 			figures[name] = n
@@ -222,11 +340,11 @@
 // end kills the process if it still runs.
 func (p *Process) end() {
 	p.mu.Lock()
-	p.expected = true
-	running, exited := p.running, p.exited
+	i := p.instance
 	p.mu.Unlock()
-	if running != nil {
-		running.Process.Kill()
-		<-exited
+	if i.running != nil {
+		i.expected.Store(true)
+		i.running.Process.Kill()
+		<-i.exited
 	}
 }
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -63,7 +63,7 @@
 
 	agents    []*Agent
 	processes []*Process
-	proxies   []*Proxy // between clients and senders
+	clients   []*Clients
 	busy      []sync.Mutex
 
 	mu        sync.Mutex
@@ -133,14 +133,18 @@
 		}
 		r.closers = append(r.closers, closeIt)
 		r.agents = append(r.agents, agent)
-		process := r.newProcess(i, addr, agent)
+		process, err := r.newProcess(i, addr, agent)
+		if err != nil {
+			return err
+		}
 		r.processes = append(r.processes, process)
 		proxy, err := NewProxy(func() string { return process.Addr }, "", func() LinkFault { return r.clientFault(i) }, func() { r.ledger.Refuse(i) })
 		if err != nil {
 			return err
 		}
 		r.closers = append(r.closers, proxy.Close)
-		r.proxies = append(r.proxies, proxy)
+		uneven := 0.5 + float64(i%4)/3 // half to one and a half of the mean
+		r.clients = append(r.clients, NewClients(r.ledger, r.rules, i, proxy.Addr, r.parts, r.Rate*uneven, r.Seed))
 	}
 	return nil
 }
@@ -182,11 +186,25 @@
 	adminPort  = "9090"
 )
 
-func (r *run) newProcess(number int, discovery string, agent *Agent) *Process {
+// Every second sender has the socket for its clients from the platform, and can be upgraded beside itself.
+func (r *run) newProcess(number int, discovery string, agent *Agent) (*Process, error) {
 	at := host(r.number, number)
-	return &Process{Number: number, Addr: net.JoinHostPort(at, clientPort), Admin: net.JoinHostPort(at, adminPort), ledger: r.ledger,
+	p := &Process{Number: number, Addr: net.JoinHostPort(at, clientPort), Admin: net.JoinHostPort(at, adminPort), ledger: r.ledger,
 		command: r.Command, agent: agent, known: agent.Known(), folder: filepath.Join(r.Folder, fmt.Sprintf("n%d", number)), rules: r.rules,
 		senders: r.Senders, discovery: discovery}
+	if number%2 == 0 {
+		return p, nil
+	}
+	l, err := net.Listen("tcp", p.Addr)
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	if p.socket, err = l.(*net.TCPListener).File(); err != nil {
+		return nil, err
+	}
+	r.closers = append(r.closers, func() { p.socket.Close() })
+	return p, nil
 }
 
 // startSenders starts all and gives each its shims: the plan's times count from here on.
@@ -261,9 +279,7 @@
 	time.Sleep(-r.ledger.Now())
 	stop := make(chan struct{})
 	var clients, troubles sync.WaitGroup
-	for i := range r.Senders {
-		uneven := 0.5 + float64(i%4)/3 // half to one and a half of the mean
-		c := NewClients(r.ledger, r.rules, i, r.proxies[i].Addr, r.parts, r.Rate*uneven, r.Seed)
+	for _, c := range r.clients {
 		clients.Add(1)
 		go func() { defer clients.Done(); c.Run(stop) }()
 	}
@@ -299,6 +315,12 @@
 		r.each(t, func(i int) { r.restart(i, func() error { r.processes[i].Kill(); return nil }) })
 	case SendersReloaded:
 		r.each(t, func(i int) { r.note(r.reload(i)) })
+	case SendersUpgraded:
+		r.each(t, func(i int) { r.upgrade(i) })
+	case KilledAtAnAnswer:
+		r.each(t, func(i int) { r.killAtAnswer(i, t.Until) })
+	case DescriptorsShort:
+		r.each(t, func(i int) { r.note(r.processes[i].LimitDescriptors(t.Until - t.From)) })
 	case SendersPaused:
 		r.each(t, func(i int) { r.processes[i].Pause(t.Until - t.From) })
 	}
@@ -334,6 +356,25 @@
 	r.note(r.processes[sender].Start())
 }
 
+// upgrade starts a sender's next process beside the one that runs, where it has a socket to pass, and ends that.
+func (r *run) upgrade(sender int) {
+	if !r.processes[sender].passes() || !r.busy[sender].TryLock() {
+		return
+	}
+	defer r.busy[sender].Unlock()
+	r.note(r.processes[sender].Upgrade())
+}
+
+// killAtAnswer kills a sender right behind its next answer that takes a message on.
+func (r *run) killAtAnswer(sender int, until time.Duration) {
+	armed := r.clients[sender].atNextAnswer()
+	select {
+	case <-armed:
+		r.restart(sender, func() error { r.processes[sender].Kill(); return nil })
+	case <-time.After(until - r.ledger.Now()):
+	}
+}
+
 // reload moves a sender's discovery to another address. The old one ends a moment later.
 func (r *run) reload(sender int) error {
 	if !r.busy[sender].TryLock() {
