--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -645,9 +645,11 @@
 // changes are the lines of an answer that say something else than what is known, those that a whole list lacks among them.
 func (l *endpoints) changes(t Targets) []Target {
 	var changed []Target
-	told := make(map[string]bool, len(t.Servers))
+	told := map[string]bool{} // of a whole list
 	for _, line := range t.Servers {
-		told[line.ID] = true
+		if t.Full {
+			told[line.ID] = true
+		}
 		e := l.byID[line.ID]
 		switch {
 		case e == nil && line.isDeleted():
