Add a failing test: a notice while no socket can be had for a moment

By reading: a message's notice is due 0.3 s after its time, and the rest between tries grows to 0.5 s. Control covers sockets to discovery, too, now.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -75,6 +76,7 @@
 // discovery speaks with the platform: the list and its changes, and notices.
 type discovery struct {
 	client *http.Client
+	dialer net.Dialer
 	turns  time.Duration // that all senders need one after another
 	first  time.Duration // before the first call; no time at all where a single process has been replaced
 	pace   time.Duration // this one's rest after a refusal; it belongs to the watch
@@ -136,11 +138,12 @@
 	if turns > 0 { // after a release all come at once
 		first = rand.N(min(others*perFirst, firstMost))
 	}
-	d := &discovery{turns: turns, first: first, held: -1, client: &http.Client{
-		Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + bindsBy},
+	d := &discovery{turns: turns, first: first, held: -1}
+	d.client = &http.Client{
+		Transport: &http.Transport{DialContext: d.dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + bindsBy},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
-		}}}
+		}}
 	d.move(addr)
 	d.heard()
 	return d
--- a/internal/sender/environment.go
+++ b/internal/sender/environment.go
@@ -19,7 +19,7 @@
 	ReadFile func(path string) ([]byte, error)
 	// WrapListener is applied to each listener for clients; nil for none.
 	WrapListener func(net.Listener) net.Listener
-	// Control is called for each socket before it connects to an endpoint; nil for none.
+	// Control is called for each socket before it connects to an endpoint or to discovery; nil for none.
 	Control func(network, address string, c syscall.RawConn) error
 }
 
--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -670,3 +670,34 @@
 		})
 	}
 }
+
+// A notice is told as soon as the platform can be reached again: what is owed at a message's end has 0.3 s.
+func TestANoticeIsToldAsSoonAsSocketsWorkAgain(t *testing.T) {
+	t.Parallel()
+	const deadline, failing = 500 * time.Millisecond, 250 * time.Millisecond
+	for n := range 8 {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			t.Parallel()
+			p := st.NewPlatform(t)
+			var from, until atomic.Int64 // Unix ns
+			env := OperatingSystem()
+			env.Control = func(string, string, syscall.RawConn) error {
+				if now := time.Now().UnixNano(); from.Load() <= now && now < until.Load() {
+					return os.NewSyscallError("socket", syscall.ENFILE)
+				}
+				return nil
+			}
+			s := live(t, env, p, nil)
+			at := time.Now()
+			from.Store(at.UnixNano())
+			until.Store(at.Add(deadline + failing).UnixNano())
+			st.HandIn(t, s.addr, "m", "safe", 5, deadline)
+			if n := st.Receive(t, p.Notices); n.Message != "m" {
+				t.Errorf("%+v", n)
+			}
+			if late := time.Since(at) - deadline; late > 300*time.Millisecond {
+				t.Errorf("it is told %v after the message's time", late)
+			}
+		})
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -118,6 +118,7 @@
 	s.pool.guard = s.guard
 	s.pool.dialer.Control = env.Control
 	s.disc.asks = c.Settings.AsksForList
+	s.disc.dialer.Control = env.Control
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	s.server.guard = s.guard
 	lock, err := s.tryLock(ctx)
