Try notices again within 40 ms, as they are due 0.3 s after their message's time

Cause: the rest after a failed try doubled up to 0.5 s (tell); where no socket could be had for 0.25 s, the notice came up to 0.52 s late. Change: the rest ends at 40 ms; a silent platform still costs each try its 0.1 to 0.5 s. Ruled out: a spare connection kept for notices, which the agent may close at any time.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -20,6 +20,7 @@
 	noticeFirst = 100 * time.Millisecond
 	noticeTime  = 500 * time.Millisecond
 	noticeRest  = 10 * time.Millisecond // before the next try; doubles
+	noticeMost  = 40 * time.Millisecond // up to this: the agent is on this machine, and takes notices at no cost
 	// A watch that was out while discovery was down may never be answered, and nothing shows it but its time:
 	// so that is short. The agent answers at once and at no cost.
 	watchWait  = 2 * time.Second        // a watch call waits so long for news
@@ -43,10 +44,10 @@
 	turnsMost = 4 * bindsBy
 	// What the agent holds already binds a sender from its start on, with the 500 ms that a drain leaves: whoever asks
 	// later than this sends by an old list. The first calls are spread no further.
-	firstMost  = 200 * time.Millisecond
-	perFirst   = perSender / 6
-	noticeMost = 256     // notices in one call
-	maxList    = 8 << 20 // bytes of a list
+	firstMost   = 200 * time.Millisecond
+	perFirst    = perSender / 6
+	noticeBatch = 256     // notices in one call
+	maxList     = 8 << 20 // bytes of a list
 )
 
 // Target is an endpoint in discovery's list.
@@ -335,7 +336,7 @@
 		} else {
 			batch = nil
 			d.client.CloseIdleConnections() // they may be as silent
-			if failures++; !rest(here, min(noticeRest<<min(failures-1, 10), backOffTop)) {
+			if failures++; !rest(here, min(noticeRest<<min(failures-1, 10), noticeMost)) {
 				failures = 0 // it has moved
 			}
 		}
--- a/internal/sender/messages.go
+++ b/internal/sender/messages.go
@@ -222,6 +222,6 @@
 func (s *Sender) tell() {
 	if !s.telling && len(s.owed) > 0 {
 		s.telling = true
-		s.notices <- slices.Clone(s.owed[:min(len(s.owed), noticeMost)]) // what is owed changes meanwhile
+		s.notices <- slices.Clone(s.owed[:min(len(s.owed), noticeBatch)]) // what is owed changes meanwhile
 	}
 }
