--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -701,3 +701,51 @@
 		})
 	}
 }
+
+// Messages that have ended stay so for a process that starts while the disk takes nothing: neither what was delivered nor
+// what was refused comes back.
+func TestAStartOnAFullDiskBringsNoEndedMessageBack(t *testing.T) {
+	t.Parallel()
+	good, hung := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Silent)
+	p := st.NewPlatform(t, good.Addr, hung.Addr)
+	state, admin := t.TempDir(), freeAddr(t)
+	edit := func(c *Config) { c.State, c.Admin, c.Settings.MostHeld = state, admin, 2 }
+	first := live(t, OperatingSystem(), p, edit)
+	for _, id := range []string{"safe", "unsafe"} {
+		st.HandIn(t, first.addr, id, id, 0, 15*time.Second)
+		good.Next(t)
+	}
+	wantFigures(t, admin, map[string]int{"outstanding": 0})
+	st.HandIn(t, first.addr, "out", "unsafe", 1, 15*time.Second)
+	hung.Next(t)
+	if resp, _ := st.Do(t, st.Message(t, first.addr, "refused", "unsafe", 5, 15*time.Second, "x")); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatal(resp.Status)
+	}
+	first.stop()
+
+	p.Change(st.Target("s-2", good.Addr, 5, "SERVING"))
+	var failing atomic.Bool
+	failing.Store(true)
+	env := OperatingSystem()
+	env.Files = failingFiles{open: func(_ string, flag int) error {
+		if flag != os.O_RDONLY && failing.Load() {
+			return syscall.ENOSPC
+		}
+		return nil
+	}}
+	live(t, env, p, edit)
+	time.Sleep(300 * time.Millisecond)
+	failing.Store(false)
+	for until := time.After(time.Second); ; {
+		select {
+		case c := <-good.Calls:
+			t.Errorf("%s has ended, and is sent again with %q", c.ID, c.Body)
+		case n := <-p.Notices:
+			if n.Message != "out" {
+				t.Errorf("it had ended: %+v", n)
+			}
+		case <-until:
+			return
+		}
+	}
+}
