Take up no ended message at a start on a full disk

What had been delivered or refused was sent again, with an empty body, or ended by a notice. Change: openJournal drops what has ended itself. The soak judges bodies and messages that are sent again after their end. Ruled out: damaged records, of which the journals had none. Sends again of what a disk or a kill kept from being written are lawful and not counted.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -174,6 +174,9 @@
 	}
 }
 
+// bodyOf is the body of a message.
+func bodyOf(s Submission) string { return "body of " + s.Key }
+
 func requestText(s Submission, body string) string {
 	text := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline-Ms: %d\r\n"+
 		"Content-Length: %d\r\nX-Addressing: dest=%d\r\n", s.ID, s.Effect, s.Deadline.Milliseconds(), len(body), s.Destination)
@@ -185,7 +188,7 @@
 
 // ask writes a request, some in pieces, and reads its answer.
 func (c *Clients) ask(conn *clientConn, s Submission) (*http.Response, error) {
-	text := requestText(s, "body of "+s.Key)
+	text := requestText(s, bodyOf(s))
 	if c.chance(splitOneIn) {
 		c.mu.Lock()
 		at := 1 + c.rand.IntN(len(text)-1)
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -136,7 +136,7 @@
 		var attempts []*Attempt
 		call := e.calls.Add(1)
 		for _, p := range parts {
-			attempts = append(attempts, e.ledger.Begin(Attempt{ID: p.ID, Endpoint: e.ID, Destination: e.Destination, Sender: sender, Call: call}))
+			attempts = append(attempts, e.ledger.Begin(Attempt{ID: p.ID, Endpoint: e.ID, Destination: e.Destination, Sender: sender, Body: string(p.Body), Call: call}))
 		}
 		if !e.answer(c, r, path, parts, attempts) {
 			return
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -33,12 +33,16 @@
 	Outages   []Outage
 	Capacity  []float64 // calls a second that each destination can do when warm
 	End       time.Duration
+	// DiskFails reports whether a sender's disk takes nothing at a time.
+	DiskFails func(sender int, at time.Duration) bool
 }
 
 const (
 	noticeAfter = 300 * time.Millisecond  // after its time is up a message has to have its end
 	restartFree = 1500 * time.Millisecond // after ready no notice is overdue
 	waitPasses  = 100 * time.Millisecond  // calls that arrive so soon after a told wait pass
+	reopenTime  = 500 * time.Millisecond  // an answer may be lost on its way, and its call repeated
+	writeTime   = 400 * time.Millisecond  // what a sender learns is written within this, if its disk works
 	hearTime    = 300 * time.Millisecond  // a process needs so long to hear what its agent has
 	sameTime    = 50 * time.Millisecond   // an abandoned call's connection may be seen to end so late
 )
@@ -49,7 +53,7 @@
 	defer l.mu.Unlock()
 	var all []Violation
 	for _, check := range []func(*Ledger, Facts) []Violation{checkLost, checkUnanswered, checkRepeats, checkConcurrent,
-		checkRefused, checkDrains, checkWaits, checkSlowStart, checkBadPeers, checkLives, checkListening, checkDestinations} {
+		checkRefused, checkDrains, checkWaits, checkSlowStart, checkBadPeers, checkLives, checkListening, checkDestinations, checkBodies, checkReopened} {
 		all = append(all, check(l, f)...)
 	}
 	slices.SortStableFunc(all, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
@@ -412,6 +416,51 @@
 	return found
 }
 
+// checkBodies: a message arrives as it was handed in.
+func checkBodies(l *Ledger, _ Facts) []Violation {
+	var found []Violation
+	for _, a := range l.attempts {
+		if s := l.submissions[a.ID]; s != nil && a.Body != bodyOf(*s) {
+			found = append(found, Violation{"body", a.At, fmt.Sprintf("%s arrives with %q from sender %d", a.ID, a.Body, a.Sender)})
+		}
+	}
+	return found
+}
+
+// mayForget reports whether a sender may not have written down what it learnt at a time: its disk failed, or it was killed.
+func (l *Ledger) mayForget(f Facts, sender int, at time.Duration) bool {
+	for d := -writeTime; d <= writeTime; d += writeTime / 4 {
+		if f.DiskFails != nil && f.DiskFails(sender, at+d) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(l.lives, func(e Life) bool {
+		return e.Sender == sender && e.Event == Killed && e.At > at-writeTime && e.At < at+writeTime
+	})
+}
+
+// checkReopened: what was delivered, or ended by a notice, is not sent again once the sender has written that down.
+func checkReopened(l *Ledger, f Facts) []Violation {
+	ended := map[string]time.Duration{}
+	for _, n := range l.notices {
+		if at, known := ended[n.ID]; !known || n.At < at {
+			ended[n.ID] = n.At
+		}
+	}
+	for _, a := range l.attempts {
+		if at, known := ended[a.ID]; a.Status == 200 && (!known || a.EndedAt < at) {
+			ended[a.ID] = a.EndedAt
+		}
+	}
+	var found []Violation
+	for _, a := range l.attempts {
+		if at, known := ended[a.ID]; known && a.At > at+reopenTime+f.Tolerance && !l.mayForget(f, a.Sender, at) {
+			found = append(found, Violation{"reopened", a.At, fmt.Sprintf("%s ended at %.3fs, and sender %d sends it again", a.ID, at.Seconds(), a.Sender)})
+		}
+	}
+	return found
+}
+
 // checkDestinations: a message goes to its destination only, and nothing is sent that nobody handed in.
 func checkDestinations(l *Ledger, _ Facts) []Violation {
 	var found []Violation
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -41,6 +41,7 @@
 	Endpoint    string
 	Destination int
 	Sender      int
+	Body        string
 	Call        uint64        // at this endpoint; attempts that travel together share it
 	At          time.Duration // its last byte arrived
 	EndedAt     time.Duration // it was answered or its connection ended; 0 while it is out
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -439,6 +439,19 @@
 	return list
 }
 
+// diskFails reports whether a sender's disk takes nothing at a time.
+func (r *run) diskFails(sender int, at time.Duration) bool {
+	for _, t := range r.plan {
+		switch t.Kind {
+		case DiskFull, DiskErrors, DiskTorn:
+			if t.active(at) && contains(t.Senders, sender) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // report judges the run and ends the senders.
 func (r *run) report() *Report {
 	end := r.ledger.Now()
@@ -458,7 +471,7 @@
 	}
 	all.Wait()
 	total := r.Rate * float64(r.Senders)
-	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end}
+	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end, DiskFails: r.diskFails}
 	for _, part := range r.parts {
 		facts.Capacity = append(facts.Capacity, capacityBy*part*total)
 	}
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -246,6 +247,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
+	// What has ended is dropped here and not by the compaction only, which may fail: this process must not take it up again.
+	j.order = slices.DeleteFunc(j.order, func(m *stored) bool { return j.byID[m.ID] != m })
 	// On a full disk it goes on without: the old file stays as it is, and nothing new is taken or sent
 	// until a compacted one can be written.
 	j.compact()
