Add a failing test: notices while no socket can be had at all

A watch that fails closes all idle connections to discovery, the one that notices have used among them. The soak also checks now that requests are answered while their clients wait (0.4 s).

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -142,6 +142,7 @@
 			}
 			return resp.StatusCode, time.Duration(seconds * float64(time.Second))
 		case errors.Is(err, os.ErrDeadlineExceeded): // it waits no longer
+			c.ledger.TimeOut(s.ID)
 			conn.Close()
 			return 0, 0
 		case !conn.fresh && try == 0: // the close crossed the request: it is written once more
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -35,12 +35,15 @@
 	End       time.Duration
 	// DiskFails reports whether a sender's disk takes nothing at a time.
 	DiskFails func(sender int, at time.Duration) bool
+	// HeldUp reports whether a sender's machine keeps it from taking or answering clients at a time.
+	HeldUp func(sender int, at time.Duration) bool
 }
 
 const (
 	noticeAfter = 300 * time.Millisecond  // after its time is up a message has to have its end
 	restartFree = 1500 * time.Millisecond // after ready no notice is overdue
 	waitPasses  = 100 * time.Millisecond  // calls that arrive so soon after a told wait pass
+	promptAfter = 500 * time.Millisecond  // what waits meanwhile is answered so long after a hold-up
 	reopenTime  = 500 * time.Millisecond  // an answer may be lost on its way, and its call repeated
 	writeTime   = 400 * time.Millisecond  // what a sender learns is written within this, if its disk works
 	hearTime    = 300 * time.Millisecond  // a process needs so long to hear what its agent has
@@ -52,7 +55,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all []Violation
-	for _, check := range []func(*Ledger, Facts) []Violation{checkLost, checkUnanswered, checkRepeats, checkConcurrent,
+	for _, check := range []func(*Ledger, Facts) []Violation{checkLost, checkUnanswered, checkPrompt, checkRepeats, checkConcurrent,
 		checkRefused, checkDrains, checkWaits, checkSlowStart, checkBadPeers, checkLives, checkListening, checkDestinations, checkBodies, checkReopened} {
 		all = append(all, check(l, f)...)
 	}
@@ -169,6 +172,25 @@
 	return found
 }
 
+// checkPrompt: a request has its answer while its client waits, if the sender runs and its machine lets it.
+func checkPrompt(l *Ledger, f Facts) []Violation {
+	var found []Violation
+	for id, s := range l.submissions {
+		until := s.SentAt + f.Rules.AnswerTime
+		if !s.TimedOut || !l.running(s.Sender, s.SentAt) || !l.running(s.Sender, until) {
+			continue
+		}
+		heldUp := false
+		for at := s.SentAt - promptAfter; at <= until && f.HeldUp != nil; at += sameTime {
+			heldUp = heldUp || f.HeldUp(s.Sender, at)
+		}
+		if !heldUp {
+			found = append(found, Violation{"slow", s.SentAt, fmt.Sprintf("%s: sender %d does not answer within %v", id, s.Sender, f.Rules.AnswerTime)})
+		}
+	}
+	return found
+}
+
 // checkRepeats: no message runs again where its class, or the window of its key, forbids it.
 func checkRepeats(l *Ledger, f Facts) []Violation {
 	var found []Violation
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -42,12 +42,14 @@
 			restartAt(l, 5*second, 6*second)
 			l.notices = []Notice{{"m", "given_up", 0, 7 * second}}
 		}},
-		"closed without answer": {edit: func(l *Ledger) { delivered(l); closeAt(l, 2*second) }, want: "unanswered"},
-		"closed by a kill":      {edit: func(l *Ledger) { delivered(l); closeAt(l, 2*second); restartAt(l, 2*second, 3*second) }},
-		"unsafe twice":          {effect: Unsafe, edit: func(l *Ledger) { failedAt(l, second, true); failedAt(l, 2*second, true); delivered(l) }, want: "duplicate"},
-		"unsafe, never ran":     {effect: Unsafe, edit: func(l *Ledger) { failedAt(l, second/2, false); delivered(l) }},
-		"keyed in its window":   {effect: Keyed, edit: func(l *Ledger) { failedAt(l, second/2, true); delivered(l) }},
-		"keyed past its window": {effect: Keyed, edit: func(l *Ledger) { failedAt(l, second, true); again(l, 4*second) }, want: "duplicate"},
+		"closed without answer":  {edit: func(l *Ledger) { delivered(l); closeAt(l, 2*second) }, want: "unanswered"},
+		"no answer in time":      {edit: func(l *Ledger) { delivered(l); l.submissions["m"].TimedOut = true }, want: "slow"},
+		"held up by its machine": {edit: func(l *Ledger) { delivered(l); l.submissions["m"].TimedOut = true }, facts: Facts{HeldUp: func(int, time.Duration) bool { return true }}},
+		"closed by a kill":       {edit: func(l *Ledger) { delivered(l); closeAt(l, 2*second); restartAt(l, 2*second, 3*second) }},
+		"unsafe twice":           {effect: Unsafe, edit: func(l *Ledger) { failedAt(l, second, true); failedAt(l, 2*second, true); delivered(l) }, want: "duplicate"},
+		"unsafe, never ran":      {effect: Unsafe, edit: func(l *Ledger) { failedAt(l, second/2, false); delivered(l) }},
+		"keyed in its window":    {effect: Keyed, edit: func(l *Ledger) { failedAt(l, second/2, true); delivered(l) }},
+		"keyed past its window":  {effect: Keyed, edit: func(l *Ledger) { failedAt(l, second, true); again(l, 4*second) }, want: "duplicate"},
 		"two at a time": {edit: func(l *Ledger) {
 			delivered(l)
 			l.attempts = append(l.attempts, at(second+second/100, 2*second, 200, true))
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -32,6 +32,7 @@
 	AnsweredAt  time.Duration
 	Closed      bool // its connection, a fresh one, ended without an answer while the client still waited
 	ClosedAt    time.Duration
+	TimedOut    bool // its client stopped waiting
 	CloseError  string
 }
 
@@ -160,6 +161,15 @@
 	}
 }
 
+// TimeOut books that a request had no answer in the time that its client waits.
+func (l *Ledger) TimeOut(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.submissions[id]; s != nil {
+		s.TimedOut = true
+	}
+}
+
 // Begin books a call's arrival.
 func (l *Ledger) Begin(a Attempt) *Attempt {
 	a.At = l.Now()
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -247,7 +248,7 @@
 func (r *run) linkFault(sender int) LinkFault {
 	now := r.ledger.Now()
 	for _, t := range r.plan {
-		if fault, ok := linkFaultOf[t.Kind]; ok && t.active(now) && contains(t.Senders, sender) {
+		if fault, ok := linkFaultOf[t.Kind]; ok && t.active(now) && slices.Contains(t.Senders, sender) {
 			return fault
 		}
 	}
@@ -258,22 +259,13 @@
 func (r *run) clientFault(sender int) LinkFault {
 	now := r.ledger.Now()
 	for _, t := range r.plan {
-		if t.Kind == ClientsChopped && t.active(now) && contains(t.Senders, sender) {
+		if t.Kind == ClientsChopped && t.active(now) && slices.Contains(t.Senders, sender) {
 			return LinkChopped
 		}
 	}
 	return LinkWell
 }
 
-func contains(list []int, x int) bool {
-	for _, y := range list {
-		if y == x {
-			return true
-		}
-	}
-	return false
-}
-
 // play lets the load and the troubles run, and what they leave.
 func (r *run) play() {
 	time.Sleep(-r.ledger.Now())
@@ -439,19 +431,26 @@
 	return list
 }
 
-// diskFails reports whether a sender's disk takes nothing at a time.
-func (r *run) diskFails(sender int, at time.Duration) bool {
+// struck reports whether one of some troubles strikes a sender at a time.
+func (r *run) struck(sender int, at time.Duration, kinds ...TroubleKind) bool {
 	for _, t := range r.plan {
-		switch t.Kind {
-		case DiskFull, DiskErrors, DiskTorn:
-			if t.active(at) && contains(t.Senders, sender) {
-				return true
-			}
+		if slices.Contains(kinds, t.Kind) && t.active(at) && slices.Contains(t.Senders, sender) {
+			return true
 		}
 	}
 	return false
 }
 
+// diskFails reports whether a sender's disk takes nothing at a time.
+func (r *run) diskFails(sender int, at time.Duration) bool {
+	return r.struck(sender, at, DiskFull, DiskErrors, DiskTorn)
+}
+
+// heldUp reports whether a sender's machine keeps it from taking or answering clients at a time.
+func (r *run) heldUp(sender int, at time.Duration) bool {
+	return r.struck(sender, at, AcceptFails, DescriptorsShort, SendersPaused, ClientsChopped)
+}
+
 // report judges the run and ends the senders.
 func (r *run) report() *Report {
 	end := r.ledger.Now()
@@ -471,7 +470,7 @@
 	}
 	all.Wait()
 	total := r.Rate * float64(r.Senders)
-	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end, DiskFails: r.diskFails}
+	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end, DiskFails: r.diskFails, HeldUp: r.heldUp}
 	for _, part := range r.parts {
 		facts.Capacity = append(facts.Capacity, capacityBy*part*total)
 	}
--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -749,3 +749,41 @@
 		}
 	}
 }
+
+// A message's end is told in time also while no socket can be had at all: a connection for notices is kept ready.
+func TestANoticeIsToldWhileNoSocketCanBeHad(t *testing.T) {
+	t.Parallel()
+	const deadline = 1200 * time.Millisecond
+	for name, told := range map[string]int{"the first notice": 0, "a later notice": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := st.NewPlatform(t)
+			var failing atomic.Bool
+			env := OperatingSystem()
+			env.Control = func(string, string, syscall.RawConn) error {
+				if failing.Load() {
+					return os.NewSyscallError("socket", syscall.ENFILE)
+				}
+				return nil
+			}
+			s := live(t, env, p, nil)
+			for n := range told {
+				st.HandIn(t, s.addr, "before"+strconv.Itoa(n), "safe", 5, 50*time.Millisecond)
+				st.Receive(t, p.Notices)
+			}
+			time.Sleep(200 * time.Millisecond)
+			failing.Store(true)
+			at := time.Now()
+			st.HandIn(t, s.addr, "m", "safe", 5, deadline)
+			select {
+			case n := <-p.Notices:
+				if late := time.Since(at) - deadline; n.Message != "m" || late > 300*time.Millisecond {
+					t.Errorf("%+v, %v after the message's time", n, late)
+				}
+			case <-time.After(deadline + 500*time.Millisecond):
+				t.Error("it is not told")
+			}
+			failing.Store(false)
+		})
+	}
+}
