Keep a connection for notices ready, apart from those of the list

Cause: a notice needed a new connection after any failure of a watch, which closed all idle ones (follow, tell); where no socket could be had for longer than the 0.3 s that a notice has, the message was lost by the rule. Change: notices have a client of their own, whose next connection is opened ahead and looked at each second (spareconn.go). Ruled out: faster tries, as they need a socket as well.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -76,12 +77,14 @@
 
 // discovery speaks with the platform: the list and its changes, and notices.
 type discovery struct {
-	client *http.Client
-	dialer net.Dialer
-	turns  time.Duration // that all senders need one after another
-	first  time.Duration // before the first call; no time at all where a single process has been replaced
-	pace   time.Duration // this one's rest after a refusal; it belongs to the watch
-	asks   bool          // the module asks for each call after a failure
+	client   *http.Client // of the list
+	notifier *http.Client // of notices: a list that fails leaves their connections alone
+	dialer   net.Dialer
+	spare    spareDialer
+	turns    time.Duration // that all senders need one after another
+	first    time.Duration // before the first call; no time at all where a single process has been replaced
+	pace     time.Duration // this one's rest after a refusal; it belongs to the watch
+	asks     bool          // the module asks for each call after a failure
 
 	held int64 // version of the list held, -1 for none; it belongs to the watch
 
@@ -133,6 +136,23 @@
 	return base, here, func() { stop(); end() }
 }
 
+// newDiscoveryClient makes a client that opens its connections by dial.
+func newDiscoveryClient(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + bindsBy},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		}}
+}
+
+// keepSpare sees to it that a connection for notices is ready. It is called now and then.
+func (d *discovery) keepSpare() {
+	d.mu.Lock()
+	base := d.base
+	d.mu.Unlock()
+	go d.spare.keep(strings.TrimPrefix(base, "http://"))
+}
+
 func newDiscovery(addr string, senders int) *discovery {
 	others, first := time.Duration(max(0, senders-fewOfUs)), time.Duration(0)
 	turns := min(others*perSender, turnsMost)
@@ -140,11 +160,9 @@
 		first = rand.N(min(others*perFirst, firstMost))
 	}
 	d := &discovery{turns: turns, first: first, held: -1}
-	d.client = &http.Client{
-		Transport: &http.Transport{DialContext: d.dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: watchWait + bindsBy},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		}}
+	d.client = newDiscoveryClient(d.dialer.DialContext)
+	d.spare = spareDialer{dial: d.dialer.DialContext}
+	d.notifier = newDiscoveryClient(d.spare.DialContext)
 	d.move(addr)
 	d.heard()
 	return d
@@ -335,7 +353,7 @@
 			failures = 0
 		} else {
 			batch = nil
-			d.client.CloseIdleConnections() // they may be as silent
+			d.notifier.CloseIdleConnections() // they may be as silent
 			if failures++; !rest(here, min(noticeRest<<min(failures-1, 10), noticeMost)) {
 				failures = 0 // it has moved
 			}
@@ -356,7 +374,7 @@
 		return err
 	}
 	req.Header.Set("Content-Type", "application/x-ndjson")
-	resp, err := d.client.Do(req)
+	resp, err := d.notifier.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -190,6 +190,8 @@
 		known, s.disc.first = st.ListVersion, 0
 	}
 	s.pool.waitTold = func(e *endpoint, wait time.Duration) { s.post(work, waitEvent{e.number, time.Now().Add(wait)}) }
+	s.disc.keepSpare()
+	defer s.disc.spare.close()
 	go s.disc.follow(work, known, s.asked,
 		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
 	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
@@ -256,6 +258,7 @@
 			s.repair(work)
 		case <-idle.C:
 			s.publish()
+			s.disc.keepSpare()
 			for _, e := range s.list.byNumber {
 				s.pool.closeIdle(e, s.pool.keep)
 			}
--- /dev/null
+++ b/internal/sender/spareconn.go
@@ -0,0 +1,88 @@
+package sender
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// spareDialer opens connections and keeps one ready that nobody uses yet: what is due within 0.3 s cannot wait until a
+// machine that is short of something lets a socket be opened again. It is safe for concurrent use.
+type spareDialer struct {
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	mu      sync.Mutex
+	spare   net.Conn // nil for none
+	addr    string   // where it leads, or has to
+	filling bool     // one is being opened
+}
+
+// spareTime bounds one try to open the spare connection.
+const spareTime = time.Second
+
+// DialContext gives the spare connection if it still stands, or opens one.
+func (d *spareDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	if c := d.take(addr); c != nil {
+		go d.keep(addr)
+		return c, nil
+	}
+	return d.dial(ctx, network, addr)
+}
+
+// take takes the spare connection to addr, nil if there is none that stands.
+func (d *spareDialer) take(addr string) net.Conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.spare
+	if c == nil || d.addr != addr {
+		return nil
+	}
+	d.spare = nil
+	if !quiet(c) {
+		c.Close()
+		return nil
+	}
+	return c
+}
+
+// keep sees to it that there is a spare connection to addr: one that no longer stands, or leads elsewhere, is replaced. It
+// tries once; its caller comes again.
+func (d *spareDialer) keep(addr string) {
+	d.mu.Lock()
+	if d.spare != nil && (d.addr != addr || !quiet(d.spare)) {
+		d.spare.Close()
+		d.spare = nil
+	}
+	d.addr = addr
+	if d.spare != nil || d.filling {
+		d.mu.Unlock()
+		return
+	}
+	d.filling = true
+	d.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(context.Background(), spareTime)
+	defer cancel()
+	c, err := d.dial(ctx, "tcp", addr)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.filling = false
+	switch {
+	case err != nil:
+	case d.addr != addr: // it has moved meanwhile
+		c.Close()
+	default:
+		d.spare = c
+	}
+}
+
+// close ends the spare connection.
+func (d *spareDialer) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.spare != nil {
+		d.spare.Close()
+		d.spare = nil
+	}
+}
