Count no message as sent again whose answer was lost on its way

Change: spans in which a sender's links are cut or reset are left out, as those in which its disk fails were.

--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -441,9 +441,9 @@
 	return false
 }
 
-// diskFails reports whether a sender's disk takes nothing at a time.
-func (r *run) diskFails(sender int, at time.Duration) bool {
-	return r.struck(sender, at, DiskFull, DiskErrors, DiskTorn)
+// mayNotKnow reports whether answers may not come to a sender at a time, or its disk takes nothing.
+func (r *run) mayNotKnow(sender int, at time.Duration) bool {
+	return r.struck(sender, at, DiskFull, DiskErrors, DiskTorn, LinksCut, LinksReset)
 }
 
 // heldUp reports whether a sender's machine keeps it from taking or answering clients at a time.
@@ -470,7 +470,7 @@
 	}
 	all.Wait()
 	total := r.Rate * float64(r.Senders)
-	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end, DiskFails: r.diskFails, HeldUp: r.heldUp}
+	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end, MayNotKnow: r.mayNotKnow, HeldUp: r.heldUp}
 	for _, part := range r.parts {
 		facts.Capacity = append(facts.Capacity, capacityBy*part*total)
 	}
