Split the largest files by subject, and let tests share one way to start a sender

Change: pool.go, endpointlist.go, replay.go and room.go take what their names say, moved as it was; Run is cut into its steps; live, run and newTest share one body. Measured: the whole suite passes with the race detector.

--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -230,13 +230,19 @@
 	}
 }
 
-// Kill ends the process at once.
-func (p *Process) Kill() {
+// told books that the process is told to end, and gives what is closed when it has.
+func (p *Process) told(event LifeEvent) (exited <-chan struct{}) {
 	p.mu.Lock()
 	p.expected.Store(true)
-	exited := p.exited
+	exited = p.exited
 	p.mu.Unlock()
-	p.ledger.Live(p.Number, Killed, "")
+	p.ledger.Live(p.Number, event, "")
+	return exited
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	exited := p.told(Killed)
 	p.signal(syscall.SIGKILL)
 	<-exited
 }
@@ -244,11 +250,7 @@
 // Terminate ends the process by SIGTERM, and by SIGKILL if it is still there at the end of its time. The error tells that
 // it did not end by itself.
 func (p *Process) Terminate() error {
-	p.mu.Lock()
-	p.expected.Store(true)
-	exited := p.exited
-	p.mu.Unlock()
-	p.ledger.Live(p.Number, Terminated, "")
+	exited := p.told(Terminated)
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-exited:
--- a/internal/sender/endpoints.go
+++ b/internal/sender/endpoints.go
@@ -8,19 +8,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"dockshift.example/dockshift/brain"
 )
 
@@ -44,21 +39,6 @@
 	scope   waitScope // what a wait told by it binds
 }
 
-type conn struct {
-	net.Conn
-	r     *bufio.Reader
-	addr  string
-	since time.Time     // it has been idle
-	calls int           // written on it
-	idle  time.Duration // how long it had been so before the present call
-	room  int           // bytes that the answer may still take
-	first []byte        // of the answer that is being read
-	told  time.Time     // when its first bytes said whether the message is served
-	stop  func() bool   // lets go of the context of the call; false if that has cut it off
-	alone bool          // the call has one message: its first line says how it ended
-	until time.Time     // the end of its time, the zero time for none
-}
-
 // Why a connection to an endpoint was closed with its call.
 const (
 	droppedRecalled   = "recalled"   // a message of its call has ended, and the bytes may not have arrived
@@ -67,17 +47,6 @@
 	droppedIncomplete = "incomplete" // the answer did not come whole, ends the connection, or has bytes behind it
 )
 
-// drop ends a connection whose call is abandoned. What it has written and the other side, cut off, has not received is
-// thrown away: it would arrive when the cut ends, after its message's end.
-func (c *conn) drop(f *figures, why string) {
-	f.reason(reasonDropped, why)
-	c.stop()
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
-
 // maxAnswer bounds an answer, head and body: an endpoint may send nonsense without an end.
 const maxAnswer = maxBody + 64<<10
 
@@ -90,135 +59,6 @@
 // served is how an answer begins from which on the message is delivered, whatever becomes of the rest.
 const served = "HTTP/1.1 200"
 
-func (c *conn) Read(b []byte) (int, error) {
-	if c.room <= 0 {
-		return 0, errTooLong
-	}
-	n, err := c.Conn.Read(b[:min(len(b), c.room)])
-	c.room -= n
-	before := len(c.first)
-	c.first = append(c.first, b[:min(n, len(served)+1-len(c.first))]...)
-	if before < len(served) && len(c.first) >= len(served) {
-		c.told = time.Now()
-		if by := c.told.Add(restTime); c.alone && c.saysServed() && (c.until.IsZero() || by.Before(c.until)) {
-			c.SetReadDeadline(by)
-		}
-	}
-	return n, err
-}
-
-// saysServed reports whether what has come begins with a first line of 200.
-func (c *conn) saysServed() bool {
-	rest, ok := strings.CutPrefix(string(c.first), served)
-	return ok && strings.Trim(rest, " \r\n") == ""
-}
-
-// pool opens, keeps and closes connections.
-type pool struct {
-	connectTimeout time.Duration
-	keep           time.Duration // how long an idle one is kept
-	most           atomic.Int64  // idle ones kept in all: the descriptors are few
-	idle           atomic.Int64
-	leaving        atomic.Bool // none is kept any more
-	fields         []string
-	forwarded      func(messages int) // called when a call is written whole
-	dialer         net.Dialer
-	guard          *guard
-	// waitTold is called when a wait has been told in an answer whose rest is still to come.
-	waitTold func(e *endpoint, wait time.Duration)
-}
-
-func newPool(c *Config) *pool {
-	// An endpoint closes an idle connection at IdleConnections at the latest, and what is written to one
-	// that it has closed is a reset that may have run: ours are closed a good deal before.
-	p := &pool{connectTimeout: c.ConnectTimeout, keep: c.Settings.IdleConnections * 9 / 10, fields: c.Fields, forwarded: func(int) {},
-		waitTold: func(*endpoint, time.Duration) {}, guard: newGuard(slog.New(slog.DiscardHandler), newFigures(nil))}
-	p.most.Store(int64(c.idleMost()))
-	return p
-}
-
-// get takes the idle connection used last, or opens one.
-func (p *pool) get(ctx context.Context, e *endpoint) (*conn, error) {
-	e.mu.Lock()
-	addr := e.addr
-	for n := len(e.idle) - 1; n >= 0; n = len(e.idle) - 1 {
-		c := e.idle[n]
-		e.idle = e.idle[:n]
-		p.idle.Add(-1)
-		if c.addr == addr && time.Since(c.since) < p.keep && quiet(c.Conn) {
-			e.mu.Unlock()
-			c.idle = time.Since(c.since)
-			return c, nil
-		}
-		c.Close()
-	}
-	e.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
-	defer cancel()
-	for {
-		nc, err := p.dialer.DialContext(ctx, "tcp", addr)
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{Conn: nc, addr: addr}
-		c.r = bufio.NewReaderSize(c, 1024)
-		e.mu.Lock()
-		addr = e.addr
-		e.mu.Unlock()
-		if c.addr == addr {
-			return c, nil
-		}
-		c.Close() // e has moved meanwhile, and whose the old address is now is not known
-	}
-}
-
-// quiet reports whether an idle connection still stands: nothing has come on it, not even its end. A call
-// on one that the endpoint has closed already would count as one that may have run, and a client's that is closed with
-// a request unread would be reset.
-func quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	stands := false
-	err = raw.Control(func(fd uintptr) { // Read would wait for whoever is reading
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stands = err == syscall.EAGAIN
-	})
-	return err == nil && stands
-}
-
-func (p *pool) put(e *endpoint, c *conn) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if c.addr != e.addr || p.leaving.Load() || p.idle.Load() >= p.most.Load() {
-		c.Close()
-		return
-	}
-	p.idle.Add(1)
-	c.since = time.Now()
-	e.idle = append(e.idle, c)
-}
-
-// closeIdle closes the idle connections to e that have been so for a time.
-func (p *pool) closeIdle(e *endpoint, after time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.idle = slices.DeleteFunc(e.idle, func(c *conn) bool {
-		old := time.Since(c.since) >= after
-		if old {
-			p.idle.Add(-1)
-			c.Close()
-		}
-		return old
-	})
-}
-
 // item is a message's part in a call.
 type item struct {
 	record
@@ -268,21 +108,6 @@
 	}
 }
 
-// arrived reports whether the other side's machine has confirmed all that was written on c.
-func (c *conn) arrived() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	left, asked := 0, error(nil)
-	err = raw.Control(func(fd uintptr) { left, asked = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && asked == nil && left == 0
-}
-
 // callEnd is how a call ended for some of its messages.
 type callEnd struct {
 	ends []itemEnd
@@ -634,109 +459,3 @@
 	end.Limit = report["x1"]
 	return waitsUntil
 }
-
-// endpoints is the list as the loop knows it. Numbers stay with ids, also of those that are gone.
-type endpoints struct {
-	byID     map[string]*endpoint
-	byNumber []*endpoint
-	listed   int // lines that the list holds now
-}
-
-// changes are the lines of an answer that say something else than what is known, those that a whole list lacks among them.
-func (l *endpoints) changes(t Targets) []Target {
-	var changed []Target
-	told := map[string]bool{} // of a whole list
-	for _, line := range t.Servers {
-		if t.Full {
-			told[line.ID] = true
-		}
-		e := l.byID[line.ID]
-		switch {
-		case e == nil && line.isDeleted():
-		case line.isDeleted():
-			if !e.target.isDeleted() {
-				changed = append(changed, Target{ID: line.ID, State: stateDeleted})
-			}
-		case e == nil || !e.target.sameButRating(line):
-			changed = append(changed, line)
-		}
-	}
-	if t.Full {
-		for _, e := range l.byNumber {
-			if e.listed && !told[e.id] {
-				changed = append(changed, Target{ID: e.id, State: stateDeleted})
-			}
-		}
-	}
-	return changed
-}
-
-// clear forgets what is listed: a whole list says it anew.
-func (l *endpoints) clear() {
-	for _, e := range l.byNumber {
-		e.listed, e.target.State = false, stateDeleted
-		e.mu.Lock()
-		if e.drained.IsZero() {
-			e.drained = time.Now()
-		}
-		e.mu.Unlock()
-	}
-	l.listed = 0
-}
-
-func (l *endpoints) number(n brain.EndpointID) (*endpoint, error) {
-	if int(n) >= len(l.byNumber) {
-		return nil, fmt.Errorf("endpoint %d is not known", n)
-	}
-	return l.byNumber[n], nil
-}
-
-// line books a line of the list and translates it for the Brain.
-func (l *endpoints) line(t Target, c *Config, p *pool) brain.Endpoint {
-	e := l.byID[t.ID]
-	if e == nil {
-		e = &endpoint{number: brain.EndpointID(len(l.byNumber)), id: t.ID}
-		l.byID[t.ID] = e
-		l.byNumber = append(l.byNumber, e)
-	}
-	if t.Addr == "" {
-		t.Addr = e.target.Addr
-	}
-	e.target = t
-	e.zone, e.most = place(c.Zones, t.Zone, 0), 1
-	kind := place(c.Kinds, t.Kind, 0)
-	if kind < len(c.Settings.Kinds) {
-		e.most = max(1, c.Settings.Kinds[kind].PerCall)
-	}
-	ready := t.State == stateServing
-	if listed := !t.isDeleted(); listed != e.listed {
-		e.listed = listed
-		if listed {
-			l.listed++
-		} else {
-			l.listed--
-		}
-	}
-	e.mu.Lock()
-	if t.Addr != "" {
-		e.addr = t.Addr
-	}
-	e.mu.Unlock()
-	if !ready {
-		p.closeIdle(e, 0)
-	}
-	e.mu.Lock()
-	switch {
-	case ready:
-		e.drained = time.Time{}
-	case e.drained.IsZero():
-		e.drained = time.Now()
-	}
-	e.scope = waitScope{destination: brain.DestinationID(t.Cell)}
-	if kind < len(c.Settings.Kinds) && c.Settings.Kinds[kind].Apart {
-		e.scope = waitScope{endpoint: e.number, apart: true}
-	}
-	e.mu.Unlock()
-	return brain.Endpoint{ID: e.number, Destination: brain.DestinationID(t.Cell), Kind: kind,
-		Zone: e.zone, Ready: ready, Rating: t.Weight}
-}
--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -31,22 +32,7 @@
 // live starts a sender in an environment; edit may change its configuration.
 func live(t *testing.T, env Environment, p *st.Platform, edit func(c *Config)) *life {
 	t.Helper()
-	raw, err := json.Marshal(st.Config(p, t.TempDir()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := ParseConfig(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if edit != nil {
-		edit(c)
-	}
-	s, err := NewIn(context.Background(), env, c, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.grace, s.leaveAfter = 0, 20*time.Millisecond
+	s := newTestIn(t, env, p, edit)
 	ctx, cancel := context.WithCancel(context.Background())
 	done, addr := make(chan error, 1), make(chan string, 1)
 	go func() {
@@ -58,16 +44,12 @@
 			return l, err
 		})
 	}()
-	stopped := false
-	l := &life{Sender: s, stop: func() {
-		if !stopped {
-			stopped = true
-			cancel()
-			if err := st.Receive(t, done); err != nil {
-				t.Error(err)
-			}
+	l := &life{Sender: s, stop: sync.OnceFunc(func() {
+		cancel()
+		if err := st.Receive(t, done); err != nil {
+			t.Error(err)
 		}
-	}}
+	})}
 	t.Cleanup(l.stop)
 	l.addr = st.Receive(t, addr)
 	return l
--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -9,10 +9,6 @@
 	"hash/crc32"
 	"io"
 	"os"
-	"path/filepath"
-	"regexp"
-	"slices"
-	"strconv"
 	"time"
 
 	"dockshift.example/dockshift/brain"
@@ -232,123 +228,6 @@
 	return j.byID[id] != nil || now || before
 }
 
-// openJournal reads what an earlier process left and begins a compacted file.
-// It sets the clock to that of the earlier process.
-func openJournal(files FileSystem, clock *clock, dir string, budget int64) (*journal, error) {
-	j := &journal{files: files, clock: clock, path: filepath.Join(dir, journalName), budget: budget, byID: map[string]*stored{}, live: clockCost + 2*lineCost,
-		list: listMemory{most: budget / listPart}, outage: outageMemory{most: budget / outagePart}}
-	old, err := files.OpenFile(j.path, os.O_RDONLY, 0)
-	if err == nil {
-		err = j.replay(old)
-		old.Close()
-	} else if errors.Is(err, os.ErrNotExist) {
-		err = nil
-	}
-	if err != nil {
-		return nil, fmt.Errorf("journal: %w", err)
-	}
-	// What has ended is dropped here and not by the compaction only, which may fail: this process must not take it up again.
-	j.order = slices.DeleteFunc(j.order, func(m *stored) bool { return j.byID[m.ID] != m })
-	// On a full disk it goes on without: the old file stays as it is, and nothing new is taken or sent
-	// until a compacted one can be written.
-	j.compact()
-	return j, nil
-}
-
-func (j *journal) replay(r io.Reader) error {
-	lines := bufio.NewReaderSize(r, 1<<16)
-	for {
-		line, err := lines.ReadBytes('\n')
-		if err == io.EOF {
-			return nil // a line without its end was not written whole
-		}
-		if err != nil {
-			return err
-		}
-		rec, lost, ok := salvage(line)
-		if len(lost) > 0 {
-			j.damaged++
-			j.doubt(lost)
-		}
-		if !ok {
-			continue
-		}
-		switch m := j.byID[rec.ID]; {
-		case rec.Op == "clock":
-			if rec.Clock != nil {
-				j.clock.follow(*rec.Clock)
-			}
-		case rec.Op == "list":
-			j.tookList(rec.Version, rec.Targets)
-		case rec.Op == "outages":
-			j.tookOutages(rec.Outages)
-		case rec.Op == "past":
-			if age := j.clock.now() - rec.At; age < 2*endedFor {
-				j.keep(rec.ID, rec.At)
-			}
-		case rec.Op == "take":
-			delete(j.ended.at, rec.ID) // it came again, when it was no longer known
-			delete(j.endedBefore.at, rec.ID)
-			if m != nil { // an id is used again only once its message is over
-				j.remove(m)
-			}
-			j.add(&stored{record: rec, how: rec.How, retry: rec.RetryMS, cost: int64(len(line)) + overhead})
-		case m == nil:
-		case rec.Op == "told" || rec.Op == "over" && (rec.How == delivered || rec.How == answered):
-			j.remove(m)
-			j.remember(m, &rec)
-		default:
-			m.apply(&rec)
-		}
-	}
-}
-
-// salvage reads a line, or the record at the end of a damaged one: where the end of a line is lost, the record
-// after it still stands whole, behind its own checksum. What cannot be read is given back.
-func salvage(line []byte) (rec record, lost []byte, ok bool) {
-	for from := 0; ; {
-		rec = record{}
-		if decode(line[from:], &rec) {
-			return rec, line[:from], true
-		}
-		next := bytes.Index(line[min(len(line), from+10):], []byte(" {"))
-		if next < 0 {
-			return rec, line, false
-		}
-		from += 10 + next - 8
-	}
-}
-
-// doubt books an attempt for the message that a damaged record names, if that may be the record of one: it may have run,
-// nobody knows when.
-func (j *journal) doubt(line []byte) {
-	for _, op := range []string{"take", "end", "over", "told", "past"} {
-		if bytes.Contains(line, []byte(`"op":"`+op+`"`)) {
-			return
-		}
-	}
-	for _, named := range damagedID.FindAllSubmatch(line, -1) {
-		var id string
-		if json.Unmarshal(named[1], &id) != nil {
-			continue
-		}
-		if m := j.byID[id]; m != nil {
-			m.Tries = append(m.Tries, try{})
-		}
-	}
-}
-
-var damagedID = regexp.MustCompile(`"id":("(?:[^"\\]|\\.)*")`)
-
-func decode(line []byte, rec *record) bool {
-	if len(line) < 10 {
-		return false
-	}
-	sum, err := strconv.ParseUint(string(line[:8]), 16, 32)
-	text := line[9 : len(line)-1]
-	return err == nil && uint32(sum) == crc32.ChecksumIEEE(text) && json.Unmarshal(text, rec) == nil
-}
-
 func encode(w io.Writer, rec *record) (int, error) {
 	text, err := json.Marshal(rec)
 	if err != nil {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -182,49 +182,15 @@
 			return err
 		}
 	}
-	known := s.c.Known.Version
-	if len(s.c.Known.Servers) == 0 {
-		known = -1
-	}
-	if st != nil {
-		known, s.disc.first = st.ListVersion, 0
-	}
-	s.pool.waitTold = func(e *endpoint, wait time.Duration) { s.post(work, waitEvent{e.number, time.Now().Add(wait)}) }
-	s.disc.keepSpare()
+	s.followDiscovery(work, st)
 	defer s.disc.spare.close()
-	go s.disc.follow(work, known, s.asked,
-		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
-	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
-
-	if !s.c.Settings.AsksForList {
-		s.ask()
-	}
 	if ctx.Err() != nil { // told to end before it has begun: nothing is taken up
 		return s.leave(stop)
 	}
 	s.resume(work, st, s.predecessorCall)
 	served := make(chan error, 1)
 	listeners := make(chan listenerOrError, 1)
-	open := func() {
-		go func() {
-			var l net.Listener
-			err := keepTrying(ctx, s.log, "the clients' address", func() (err error) {
-				l, err = listen()
-				return err
-			})
-			listeners <- listenerOrError{l, err}
-		}()
-	}
-	serve := func(l net.Listener) {
-		if s.env.WrapListener != nil {
-			l = s.env.WrapListener(l)
-		}
-		d := s.server.listenOn(l)
-		go func() { served <- s.server.serve(d) }()
-		s.server.closing.Store(false)
-		s.server.ready.Store(true)
-		s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
-	}
+	open := func() { go func() { listeners <- s.openListener(ctx, listen) }() }
 	if ctx.Err() == nil { // else no client needs to come to it, and it ends what it has taken up
 		open()
 	}
@@ -269,25 +235,14 @@
 			grace, leave = time.After(s.grace), time.After(s.leaveAfter)
 		case <-grace:
 			grace = nil
-			s.quitting = true
-			if s.handed && s.successor == nil {
-				s.abandonPassedOn() // the lock is not taken again from here on
-			}
-			s.withhold(func(*outCall) bool { return true })
-			s.log.Info("no call is begun any more", "held", s.held, "calls", s.out)
-			s.server.leave()
+			s.stopSending()
 		case <-s.server.calm:
 		case <-leave:
 			if leave = nil; !s.handed || s.out == 0 {
 				end()
 				break
 			}
-			// The successor must not send again what is still out here: it hears of each call's end first.
-			for _, m := range s.messages {
-				for _, c := range m.calls {
-					c.cancel()
-				}
-			}
+			s.cancelCalls()
 			cut = time.After(cutTime)
 		case <-cut:
 			return s.leave(stop)
@@ -301,7 +256,7 @@
 			case ctx.Err() != nil || s.handed: // too late: whoever comes goes to the next process
 				l.Close()
 			default:
-				serve(l.Listener)
+				s.serveOn(l.Listener, served)
 			}
 		case err := <-served:
 			if err != nil && !s.handed {
@@ -318,6 +273,67 @@
 	}
 }
 
+// followDiscovery begins to watch the list, from the version that is known, and to tell notices.
+func (s *Sender) followDiscovery(work context.Context, st *snapshot) {
+	known := s.c.Known.Version
+	if len(s.c.Known.Servers) == 0 {
+		known = -1
+	}
+	if st != nil {
+		known, s.disc.first = st.ListVersion, 0
+	}
+	s.pool.waitTold = func(e *endpoint, wait time.Duration) { s.post(work, waitEvent{e.number, time.Now().Add(wait)}) }
+	s.disc.keepSpare()
+	go s.disc.follow(work, known, s.asked,
+		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
+	go s.disc.tell(work, s.notices, func(n []notice) { s.post(work, toldEvent{n}) })
+	if !s.c.Settings.AsksForList {
+		s.ask()
+	}
+}
+
+// openListener listens for clients, however long the address cannot be had for reasons that pass.
+func (s *Sender) openListener(ctx context.Context, listen func() (net.Listener, error)) listenerOrError {
+	var l net.Listener
+	err := keepTrying(ctx, s.log, "the clients' address", func() (err error) {
+		l, err = listen()
+		return err
+	})
+	return listenerOrError{l, err}
+}
+
+// serveOn takes clients in from a listener; served hears when that ends.
+func (s *Sender) serveOn(l net.Listener, served chan<- error) {
+	if s.env.WrapListener != nil {
+		l = s.env.WrapListener(l)
+	}
+	d := s.server.listenOn(l)
+	go func() { served <- s.server.serve(d) }()
+	s.server.closing.Store(false)
+	s.server.ready.Store(true)
+	s.log.Info("ready", "name", s.c.Name, "listen", l.Addr().String(), "resumed", s.held, "notices", len(s.owed))
+}
+
+// stopSending ends the grace after SIGTERM: no call is begun any more.
+func (s *Sender) stopSending() {
+	s.quitting = true
+	if s.handed && s.successor == nil {
+		s.abandonPassedOn() // the lock is not taken again from here on
+	}
+	s.withhold(func(*outCall) bool { return true })
+	s.log.Info("no call is begun any more", "held", s.held, "calls", s.out)
+	s.server.leave()
+}
+
+// cancelCalls ends the calls that are out. A successor must not send again what they carry: it hears of each one's end first.
+func (s *Sender) cancelCalls() {
+	for _, m := range s.messages {
+		for _, c := range m.calls {
+			c.cancel()
+		}
+	}
+}
+
 // leave ends the process's work: what is out is cut off and stays written down as such.
 func (s *Sender) leave(stop context.CancelFunc) error {
 	stop()
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -27,6 +27,12 @@
 
 // newTest makes a sender that leaves quickly; edit may change its configuration.
 func newTest(t *testing.T, p *st.Platform, edit func(c *Config)) *Sender {
+	t.Helper()
+	return newTestIn(t, OperatingSystem(), p, edit)
+}
+
+// newTestIn is newTest in an environment that a test may spoil.
+func newTestIn(t *testing.T, env Environment, p *st.Platform, edit func(c *Config)) *Sender {
 	t.Helper()
 	raw, err := json.Marshal(st.Config(p, t.TempDir()))
 	if err != nil {
@@ -39,7 +45,7 @@
 	if edit != nil {
 		edit(c)
 	}
-	s, err := New(c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s, err := NewIn(context.Background(), env, c, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,25 +56,7 @@
 // run starts a sender in this process and gives its address.
 func run(t *testing.T, p *st.Platform, edit func(c *Config)) string {
 	t.Helper()
-	s := newTest(t, p, edit)
-	addr := make(chan string, 1)
-	listen := func() (net.Listener, error) {
-		l, err := net.Listen("tcp", s.c.Listen)
-		if err == nil {
-			addr <- l.Addr().String()
-		}
-		return l, err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx, listen) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := st.Receive(t, done); err != nil {
-			t.Error(err)
-		}
-	})
-	return st.Receive(t, addr)
+	return live(t, OperatingSystem(), p, edit).addr
 }
 
 func TestDelivery(t *testing.T) {
