Go on with the monotonic clock also where the boot id cannot be read

Cause: follow asked for a boot id, which a machine without /proc does not give. Change: where neither process can read one, an uptime that has not gone back stands for the same start of the machine. Ruled out: going by the wall clock there, as a restart takes seconds and a start of the machine sets its uptime back.

--- a/internal/sender/clock.go
+++ b/internal/sender/clock.go
@@ -16,7 +16,7 @@
 type clock struct {
 	read   time.Time     // when the monotonic clock was read,
 	uptime time.Duration // and what it said
-	boot   string        // identifies the machine's start, empty if it cannot be told
+	boot   string        // identifies the machine's start, empty if it cannot be told: then an uptime that goes on does
 	offset atomic.Int64  // of this clock to the monotonic one
 }
 
@@ -35,9 +35,10 @@
 	c := &clock{read: time.Now()}
 	var monotonic unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) == nil {
-		if id, err := os.ReadFile(bootIDFile); err == nil {
-			c.uptime, c.boot = time.Duration(monotonic.Nano()), string(bytes.TrimSpace(id))
-		}
+		c.uptime = time.Duration(monotonic.Nano())
+	}
+	if id, err := os.ReadFile(bootIDFile); err == nil {
+		c.boot = string(bytes.TrimSpace(id))
 	}
 	c.offset.Store(wall.UnixNano() - int64(c.uptime))
 	return c
@@ -55,7 +56,7 @@
 
 // follow goes on with the clock of an earlier process, if the machine still runs as it did then.
 func (c *clock) follow(e epoch) {
-	if c.boot != "" && e.Boot == c.boot && e.Uptime <= c.monotonic() {
+	if c.uptime > 0 && e.Uptime > 0 && e.Boot == c.boot && e.Uptime <= c.monotonic() {
 		c.offset.Store(int64(e.Offset))
 	}
 }
