Add a failing test: a wait that the old process is told after a hand-over

By reading, forced by the test: the new process calls 0.1 s into a wait of 1.5 s, as the old one, whose call it was, passes on the end of the call only.

--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -497,3 +497,37 @@
 	failing.Store(false)
 	st.Receive(t, took)
 }
+
+// A wait that an endpoint tells the old process in an answer that never ends binds the new one, too.
+func TestAWaitToldToTheOldProcessBindsTheNewOne(t *testing.T) {
+	t.Parallel()
+	const wait = 1500 * time.Millisecond
+	tell, told := make(chan struct{}), make(chan time.Time, 1)
+	e := st.NewEndpoint(t, func(c st.Call, conn net.Conn) bool {
+		if c.ID != "out" {
+			return st.Status(200)(c, conn)
+		}
+		<-tell
+		io.WriteString(conn, "HTTP/1.1 429 X\r\nX-RateLimit-Wait-Ms: "+strconv.FormatInt(wait.Milliseconds(), 10)+"\r\nContent-Length: 100\r\n\r\nhalf")
+		told <- time.Now()
+		return st.Silent(c, conn)
+	})
+	p := st.NewPlatform(t, e.Addr)
+	state := t.TempDir()
+	addr, listen := platformSocket(t)
+	beside(t, p, state, listen)
+	for n := range 5 { // its window grows, so that a further call would have a place
+		st.HandIn(t, addr, "before"+strconv.Itoa(n), "safe", 0, 15*time.Second)
+		e.Next(t)
+	}
+	st.HandIn(t, addr, "out", "unsafe", 0, 15*time.Second)
+	e.Next(t)
+	beside(t, p, state, listen)
+	close(tell)
+	at := st.Receive(t, told)
+	time.Sleep(100 * time.Millisecond)
+	st.HandIn(t, addr, "after", "safe", 0, 15*time.Second)
+	if c := e.Next(t); c.ID != "after" || time.Since(at) < wait {
+		t.Errorf("%s comes %v after a wait of %v was told", c.ID, time.Since(at), wait)
+	}
+}
