Pass a told wait on to the process that has taken over

Cause: after a hand-over the old process relayed the ends of its calls only (relay); a wait in an answer that never ends reached the new one with the time-out. Change: a packet with the wait, which the new process heeds at once. Ruled out: the guard, which is each process's own.

--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -39,6 +39,7 @@
 	Submit *relayed     // old one: a request that came on one of my connections
 	Answer *relayAnswer // newcomer: its answer
 	Ended  *flightEnd   // old one: how an attempt ended
+	Wait   *relayedWait // old one: a wait told to a call that has not ended
 	Cancel *flightID    // newcomer: call it off
 
 	flush chan struct{} // not sent: closed when all before it has been
@@ -75,6 +76,12 @@
 	End    brain.AttemptEnd
 }
 
+// relayedWait is a wait that an endpoint has told, by the endpoint's id and from now on.
+type relayedWait struct {
+	Endpoint string
+	Wait     time.Duration
+}
+
 type relayed struct {
 	Seq    uint64
 	Record record
@@ -408,6 +415,10 @@
 		}
 	case toldEvent:
 		s.telling = false // the successor tells them once more, which does no harm
+	case waitEvent:
+		if at := s.endpoint(e.endpoint); at != nil && s.successor != nil {
+			s.successor.send(packet{Wait: &relayedWait{at.id, max(0, time.Until(e.until))}})
+		}
 	case reloadEvent:
 		s.retune(e.Config)
 	case listEvent:
@@ -557,6 +568,10 @@
 		if ev := s.submitted(sub); ev != nil {
 			return []brain.Event{ev}
 		}
+	case e.Wait != nil:
+		if at := s.list.byID[e.Wait.Endpoint]; at != nil {
+			return []brain.Event{brain.WaitTold{Endpoint: at.number, Wait: e.Wait.Wait}}
+		}
 	case e.Ended != nil:
 		if m := s.byID[e.Ended.Flight.ID]; m != nil {
 			return s.callEnded(callEnd{ends: []itemEnd{{m, e.Ended.Flight.Try - m.base, e.Ended.End}}})
