Trim the remembered list in one pass, and write down no more of it than is kept

Cause: a first whole list of thousands that the configuration lacked was written whole and then trimmed one by one, each time over the whole of it. Change: two passes at most, and the record holds what is kept.

--- a/internal/sender/journal.go
+++ b/internal/sender/journal.go
@@ -300,10 +300,12 @@
 	if len(changes) == 0 {
 		return
 	}
-	if _, err := encode(&j.buf, &record{Op: "list", Version: version, Targets: changes}); err != nil {
+	j.tookList(version, changes)
+	// Of more than there is room for only the last are kept; the file need not have them either.
+	kept := j.list.changes[max(0, len(j.list.changes)-len(changes)):]
+	if _, err := encode(&j.buf, &record{Op: "list", Version: version, Targets: kept}); err != nil {
 		j.failed = true
 	}
-	j.tookList(version, changes)
 }
 
 // noteOutages adds a record on changes of outages; flush writes it.
--- a/internal/sender/listmemory.go
+++ b/internal/sender/listmemory.go
@@ -62,14 +62,22 @@
 			m.cost += costOf(t)
 		}
 	}
-	for m.cost > m.most && len(m.changes) > 0 {
-		m.drop(max(0, slices.IndexFunc(m.changes, func(t Target) bool { return t.State == stateServing })))
-	}
+	m.trim(func(t Target) bool { return t.State == stateServing })
+	m.trim(func(Target) bool { return true })
 }
 
-func (m *listMemory) drop(i int) {
-	m.cost -= costOf(m.changes[i])
-	m.changes = slices.Delete(m.changes, i, i+1)
+// trim drops the oldest of some changes until the rest keeps to the bound.
+func (m *listMemory) trim(which func(Target) bool) {
+	if m.cost <= m.most {
+		return
+	}
+	m.changes = slices.DeleteFunc(m.changes, func(t Target) bool {
+		drop := m.cost > m.most && which(t)
+		if drop {
+			m.cost -= costOf(t)
+		}
+		return drop
+	})
 }
 
 // applyTo is a list of the configuration with the changes, unless it is as new as they are.
