--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -37,7 +37,8 @@
 )
 
 // Agent is discovery on one sender's machine. While it is silent it answers no call for the list and learns
-// nothing. It takes notices at any time unless it is told to refuse them.
+// nothing, and calls that are out meanwhile stay unanswered when it speaks again. It takes notices at any time unless it
+// is told to refuse them.
 type Agent struct {
 	ledger *Ledger
 	sender int
@@ -51,7 +52,7 @@
 	silent  bool
 	deaf    bool     // notices get no answer
 	waiting []Server // changes that come while it is silent
-	lost    int      // watches that began before the last of so many losses are never answered
+	lost    int      // calls that began before the last of so many losses are never answered
 }
 
 // NewAgent holds a list from the start on.
@@ -115,7 +116,8 @@
 	a.wake = make(chan struct{})
 }
 
-// Silence makes the agent say nothing, or lets it speak again with all that it has missed.
+// Silence makes the agent say nothing, or lets it speak again with all that it has missed. Calls that are out when it
+// falls silent, or come while it is, are lost.
 func (a *Agent) Silence(silent bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -124,7 +126,10 @@
 	}
 	a.silent = silent
 	a.ledger.Silence(a.sender, silent)
-	if !silent {
+	if silent {
+		a.lost++
+		a.awake()
+	} else {
 		for _, s := range a.waiting {
 			a.apply(s)
 		}
@@ -169,11 +174,15 @@
 	until := time.NewTimer(time.Duration(min(wait, 60_000)) * time.Millisecond)
 	defer until.Stop()
 	a.mu.Lock()
-	began := a.lost
+	began, silent := a.lost, a.silent
 	a.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	for over := false; ; {
 		a.mu.Lock()
-		silent, lost, wake := a.silent, a.lost != began, a.wake
+		lost, wake := a.lost != began, a.wake
 		ready := whole || a.version > after || over
 		answer := List{Version: a.version, Full: whole}
 		for i, s := range a.servers {
@@ -186,7 +195,7 @@
 		case lost:
 			<-r.Context().Done()
 			return
-		case ready && !silent:
+		case ready:
 			if answer.Servers == nil {
 				answer.Servers = []Server{}
 			}
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -20,10 +20,12 @@
 	os.Exit(m.Run())
 }
 
+const testSenders = 8
+
 // testRun plays a run of few senders and fails for each violation.
 func testRun(t *testing.T, o Options) *Report {
 	t.Helper()
-	o.Senders, o.Destinations, o.Rate, o.Folder = 8, 5, 8, t.TempDir()
+	o.Senders, o.Destinations, o.Rate, o.Folder = testSenders, 5, 8, t.TempDir()
 	o.Command = Command{Path: os.Args[0], Env: []string{senderVariable + "=1", "GORACE=atexit_sleep_ms=0"}}
 	o.Tolerance = 250 * time.Millisecond // beside other tests, and with the race detector
 	report, err := Run(o)
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -6,8 +6,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -306,3 +309,116 @@
 		t.Errorf("%v between an answer and the next call", gap)
 	}
 }
+
+// An agent that is silent answers no call of that time when it speaks again, and what it has by then counts as told at once.
+// A drain leaves 500 ms, of which a sender may be held up for 150 ms: the rest is the time to hear of it.
+func TestAnAgentThatSpeaksAgainIsHeardInTime(t *testing.T) {
+	t.Parallel()
+	const hearWithin = 350 * time.Millisecond
+	for _, senders := range []int{3, 300} {
+		for _, length := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second} {
+			t.Run(fmt.Sprint(senders, " ", length), func(t *testing.T) {
+				t.Parallel()
+				agent := &quietAgent{version: 7}
+				s := httptest.NewServer(agent)
+				t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+				told := newsOf(t, newDiscovery(strings.TrimPrefix(s.URL, "http://"), senders), -1)
+				for range 3 {
+					st.Receive(t, told)
+					time.Sleep(110 * time.Millisecond) // the silences begin at several moments of a watch
+					agent.silence(length)
+					spoke := time.Now()
+					for st.Receive(t, told).Version < agent.now() {
+					}
+					if took := time.Since(spoke); took > hearWithin {
+						t.Errorf("heard %v after it spoke again", took)
+					}
+				}
+			})
+		}
+	}
+}
+
+// quietAgent is an agent with a list that has a newer version after each silence.
+type quietAgent struct {
+	mu      sync.Mutex
+	version int64
+	quiet   bool
+	lost    int
+}
+
+func (a *quietAgent) now() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.version
+}
+
+// silence lasts for a time. Calls that are out when it begins are lost as well.
+func (a *quietAgent) silence(length time.Duration) {
+	a.mu.Lock()
+	a.quiet = true
+	a.lost++
+	a.mu.Unlock()
+	time.Sleep(length)
+	a.mu.Lock()
+	a.quiet = false
+	a.version++
+	a.mu.Unlock()
+}
+
+func (a *quietAgent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	a.mu.Lock()
+	lost := a.lost
+	if a.quiet {
+		lost--
+	}
+	a.mu.Unlock()
+	for {
+		a.mu.Lock()
+		version, gone := a.version, lost != a.lost
+		a.mu.Unlock()
+		switch {
+		case gone:
+			<-r.Context().Done()
+			return
+		case err != nil || version > after || time.Now().After(until):
+			fmt.Fprintf(w, `{"version":%d,"full":%v,"servers":[]}`, version, err != nil)
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// The connection that is kept ready for notices follows discovery to a new address at once: sockets may be short there right after.
+func TestANoticeIsToldRightAfterAMoveWhileNoSocketCanBeHad(t *testing.T) {
+	t.Parallel()
+	taken := func() *httptest.Server {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+		t.Cleanup(s.Close)
+		return s
+	}
+	before, now := taken(), taken()
+	var failing atomic.Bool
+	d := newDiscovery(strings.TrimPrefix(before.URL, "http://"), 3)
+	d.dialer.Control = func(string, string, syscall.RawConn) error {
+		if failing.Load() {
+			return syscall.ENOBUFS
+		}
+		return nil
+	}
+	t.Cleanup(d.spare.close)
+	d.keepSpare()
+	time.Sleep(100 * time.Millisecond)
+	failing.Store(true) // also as it moves, for a moment
+	d.move(strings.TrimPrefix(now.URL, "http://"))
+	time.Sleep(100 * time.Millisecond)
+	failing.Store(false)
+	time.Sleep(200 * time.Millisecond)
+	failing.Store(true)
+	if err := d.post(context.Background(), now.URL, []byte("{}\n"), noticeTime); err != nil {
+		t.Error(err)
+	}
+}
