Hedge calls for the list while discovery is silent, so that news is heard in 0.25 s

Cause: an agent that was silent answers no call of that time, and what it gets at its return counts at once where lists are pushed. follow() had one call out at a time, given up after 1 to 3 s for a whole list and 3 to 4 s for a watch, with rests of up to 0.5 s between: news came up to 4 s late, and 500 ms are allowed. Class: what is learnt by one pending question is known as late as that question may pend. So a call that is young enough must be out at any time: a watch waits 0.15 s for news in place of 2 s, an overdue call is followed by a further one every 0.15 s, on a connection of its own, and the first answer counts. Refusals and slow answers, signs of a crowded platform, end that for a time. Rests after silence are gone; after refusals they stay. Also: answers without news no longer wake the loop; figures discovery.hedged, .silent, .refused, .moved; log lines "list changed" and "discovery answers again". The test platform heeds wait_ms. One bound in a test follows the times (it asks for less time).

--- a/internal/sender/config.go
+++ b/internal/sender/config.go
@@ -53,7 +53,7 @@
 // The descriptors are shared out so that all uses fit at their most, whatever else goes on: clients get half (they use a third,
 // and strangers come beside them), operators a part, what follows stays free, and calls have the rest. Connections that
 // rest beside those of the calls have what the slots leave.
-const spareDescriptors = 20 // standard streams, the poller, listeners, lock, journal, discovery, a successor
+const spareDescriptors = 24 // standard streams, the poller, listeners, lock, journal, discovery and its hedged calls, a successor
 
 func clientsMost(sockets int) int { return max(2, sockets/2) }
 
--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -35,7 +35,7 @@
 			}))
 			t.Cleanup(s.Close)
 			d := newDiscovery(strings.TrimPrefix(s.URL, "http://"), c.senders)
-			list, err := d.list(context.Background(), s.URL, -1, d.patience(0))
+			list, err := d.list(context.Background(), s.URL, -1, d.patience(-1, 0))
 			if served := err == nil && list.Version == 7; served != c.served {
 				t.Errorf("served %v: %v", served, err)
 			}
@@ -109,10 +109,10 @@
 	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	t.Cleanup(s.Close)
 	began := time.Now()
-	if _, err := d.list(context.Background(), s.URL, 7, 0); err == nil {
+	if _, err := d.list(context.Background(), s.URL, 7, d.patience(7, 0)); err == nil {
 		t.Error("an answer from an agent that is silent")
 	}
-	if took := time.Since(began); took > watchWait+watchLate+time.Second {
+	if took := time.Since(began); took > d.watchWait()+watchLate+time.Second {
 		t.Errorf("%v waited for an agent that is silent", took)
 	}
 }
@@ -323,8 +323,8 @@
 				s := httptest.NewServer(agent)
 				t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 				told := newsOf(t, newDiscovery(strings.TrimPrefix(s.URL, "http://"), senders), -1)
+				st.Receive(t, told)
 				for range 3 {
-					st.Receive(t, told)
 					time.Sleep(110 * time.Millisecond) // the silences begin at several moments of a watch
 					agent.silence(length)
 					spoke := time.Now()
--- a/internal/sender/figures.go
+++ b/internal/sender/figures.go
@@ -99,6 +99,7 @@
 	reasonRetried   reasonKind = "retried"    // an attempt ended and its message goes on
 	reasonAccept    reasonKind = "accept"     // clients that could not be accepted
 	reasonDropped   reasonKind = "dropped"    // a connection to an endpoint was closed with its call
+	reasonDiscovery reasonKind = "discovery"  // calls for the list that did not go as they should
 )
 
 // reason counts something by why it happened. Reasons are few fixed words.
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -117,7 +117,7 @@
 	s.guard = newGuard(log, s.figures)
 	s.pool.guard = s.guard
 	s.pool.dialer.Control = env.Control
-	s.disc.asks = c.Settings.AsksForList
+	s.disc.asks, s.disc.figures, s.disc.log = c.Settings.AsksForList, s.figures, log
 	s.disc.dialer.Control = env.Control
 	s.server = newServer(c, s.clock, log, func(ctx context.Context, sub submission) bool { return s.post(ctx, sub) })
 	s.server.guard = s.guard
@@ -486,7 +486,9 @@
 			e.lock.Close()
 		}
 	case listEvent:
-		s.journal.noteList(e.Version, s.list.changes(e.Targets))
+		changes := s.list.changes(e.Targets)
+		s.logList(e.Version, changes)
+		s.journal.noteList(e.Version, changes)
 		return one(s.news(e.Targets, e.Full))
 	case failedEvent:
 		s.log.Warn("discovery failed", "err", e.err)
@@ -509,6 +511,22 @@
 	return nil
 }
 
+// logList logs what a list changes: one line, and where the log level asks for it one for each endpoint that takes nothing
+// new any more.
+func (s *Sender) logList(version int64, changes []Target) {
+	if len(changes) == 0 {
+		return
+	}
+	stopped := 0
+	for _, t := range changes {
+		if t.State != stateServing {
+			stopped++
+			s.log.Debug("endpoint stops", "endpoint", t.ID, "state", t.State, "version", version)
+		}
+	}
+	s.log.Info("list changed", "version", version, "endpoints", len(changes), "not_serving", stopped)
+}
+
 func (s *Sender) news(t Targets, whole bool) brain.Event {
 	news := brain.ListNews{Whole: whole}
 	s.listVersion = t.Version
--- /dev/null
+++ b/internal/sender/notifier.go
@@ -0,0 +1,84 @@
+package sender
+
+// Notices: how the platform is told of messages that were taken on and not delivered.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	// A notice is due 300 ms after its message's time, and is answered at once, or the connection says nothing any more.
+	// So the first try is short, and there is time for two further ones; a platform in trouble is given more.
+	noticeFirst = 100 * time.Millisecond
+	noticeTime  = 500 * time.Millisecond
+	noticeRest  = 10 * time.Millisecond // before the next try; doubles
+	noticeMost  = 40 * time.Millisecond // up to this: the agent is on this machine, and takes notices at no cost
+	noticeBatch = 256                   // notices in one call
+)
+
+// notice is a line on a message that was taken on and not delivered.
+type notice struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	RetryMS *int64 `json:"retry_in_ms,omitempty"`
+}
+
+// tell posts batches of notices, each once, and passes on those that were taken, and none after a failure. Then all that
+// is owed by now goes out anew, and on another connection: nothing waits for a silent one longer than its try takes.
+func (d *discovery) tell(ctx context.Context, notices <-chan []notice, told func([]notice)) {
+	for failures := 0; ; {
+		var batch []notice
+		select {
+		case batch = <-notices:
+		case <-ctx.Done():
+			return
+		}
+		var lines bytes.Buffer
+		enc := json.NewEncoder(&lines)
+		for _, n := range batch {
+			enc.Encode(n) // strings and numbers only: it cannot fail
+		}
+		base, here, cancel := d.at(ctx)
+		err := d.post(here, base, lines.Bytes(), min(noticeFirst<<min(failures, 10), noticeTime))
+		if err == nil {
+			failures = 0
+		} else {
+			batch = nil
+			d.notifier.CloseIdleConnections() // they may be as silent
+			if failures++; !rest(here, min(noticeRest<<min(failures-1, 10), noticeMost)) {
+				failures = 0 // it has moved
+			}
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		told(batch)
+	}
+}
+
+func (d *discovery) post(ctx context.Context, base string, lines []byte, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/notices", bytes.NewReader(lines))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/x-ndjson")
+	resp, err := d.notifier.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("notices are answered %s", resp.Status)
+	}
+	return nil
+}
--- a/internal/sendertest/platform.go
+++ b/internal/sendertest/platform.go
@@ -255,6 +255,8 @@
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	p.Lists <- r.URL.RawQuery
 	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	over := time.After(time.Duration(wait) * time.Millisecond)
 	p.mu.Lock()
 	began := p.lost
 	p.mu.Unlock()
@@ -277,6 +279,9 @@
 		}
 		select {
 		case <-changed:
+		case <-over:
+			json.NewEncoder(w).Encode(map[string]any{"version": after, "full": false, "servers": []any{}})
+			return
 		case <-r.Context().Done():
 			return
 		}
