Move the connection for notices with discovery at once, and try for it until it stands

Class: what has to stand ready was renewed by a clock and not by the event that makes it stale. Change: a move renews it, and what fails is tried again after 10 ms, doubling to 100 ms.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -83,7 +83,8 @@
 	binds time.Time // by then what has not been told binds all the same
 }
 
-// move turns to another address. What is out at the old one is broken off and goes to the new.
+// move turns to another address. What is out at the old one is broken off and goes to the new, and so does the connection that
+// is kept ready for notices.
 func (d *discovery) move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -96,6 +97,7 @@
 	if d.base != "" {
 		d.binds = time.Now().Add(movedBy)
 		d.figures.reason(reasonDiscovery, movedDiscovery)
+		go d.spare.keep(addr)
 	}
 	d.base = "http://" + addr
 	d.here, d.leave = context.WithCancel(context.Background())
--- a/internal/sender/spareconn.go
+++ b/internal/sender/spareconn.go
@@ -16,10 +16,14 @@
 	spare   net.Conn // nil for none
 	addr    string   // where it leads, or has to
 	filling bool     // one is being opened
+	closed  bool     // none is wanted any more
 }
 
-// spareTime bounds one try to open the spare connection.
-const spareTime = time.Second
+const (
+	spareTime      = time.Second           // bounds one try to open the spare connection
+	spareRestFirst = 10 * time.Millisecond // before the next try; doubles
+	spareRestMost  = 100 * time.Millisecond
+)
 
 // DialContext gives the spare connection if it still stands, or opens one.
 func (d *spareDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -46,8 +50,8 @@
 	return c
 }
 
-// keep sees to it that there is a spare connection to addr: one that no longer stands, or leads elsewhere, is replaced. It
-// tries once; its caller comes again.
+// keep sees to it that there is a spare connection to addr: one that no longer stands, or leads elsewhere, is replaced, as soon
+// as a socket can be had.
 func (d *spareDialer) keep(addr string) {
 	d.mu.Lock()
 	if d.spare != nil && (d.addr != addr || !quiet(d.spare)) {
@@ -55,32 +59,40 @@
 		d.spare = nil
 	}
 	d.addr = addr
-	if d.spare != nil || d.filling {
-		d.mu.Unlock()
-		return
-	}
-	d.filling = true
+	fills := d.spare == nil && !d.filling && !d.closed
+	d.filling = d.filling || fills
 	d.mu.Unlock()
+	for rest := spareRestFirst; fills && !d.fill(); rest = min(2*rest, spareRestMost) {
+		time.Sleep(rest)
+	}
+}
 
+// fill tries once to open the spare connection, and reports whether that is over: it stands, or none is wanted any more.
+func (d *spareDialer) fill() bool {
+	d.mu.Lock()
+	addr := d.addr
+	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), spareTime)
 	defer cancel()
 	c, err := d.dial(ctx, "tcp", addr)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.filling = false
+	stands := err == nil && d.addr == addr // else it may have moved meanwhile
 	switch {
-	case err != nil:
-	case d.addr != addr: // it has moved meanwhile
-		c.Close()
-	default:
+	case stands && !d.closed:
 		d.spare = c
+	case err == nil:
+		c.Close()
 	}
+	d.filling = !stands && !d.closed
+	return !d.filling
 }
 
-// close ends the spare connection.
+// close ends the spare connection, for good.
 func (d *spareDialer) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.closed = true
 	if d.spare != nil {
 		d.spare.Close()
 		d.spare = nil
