Let the soak judge drains strictly, send signals in series and beside one another, and crowd

Now: a drain binds from when the agent has it, whether it goes on to speak or a watch is open; a further move does not put it off. SIGHUP comes one to four times in a row, now and then to an address that has not moved, and before and after SIGTERM, which may come twice; never in a process's first second. An old address takes no new connection and ends 1.5 s later. After SIGTERM clients use every open connection until 3.7 s have passed, and requests on those need an answer or a close; SIGKILL comes then, the next process 0.6 s later.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -46,6 +46,7 @@
 	retriesMost    = 2
 	shortOneIn     = 12 // messages with very little time
 	shortLife      = 120 * time.Millisecond
+	useAllEach     = 150 * time.Millisecond
 	badPeerEach    = 700 * time.Millisecond
 	badPeerTime    = 3 * time.Second
 	badPeerGivesUp = 4 * time.Second
@@ -79,6 +80,24 @@
 	}
 }
 
+// UseAll hands a message in on each connection that is open and idle, again and again until stop is closed.
+func (c *Clients) UseAll(stop <-chan struct{}) {
+	for {
+		c.mu.Lock()
+		idle := len(c.idle)
+		c.mu.Unlock()
+		for range idle {
+			s := c.draw()
+			c.begin(func() { c.handIn(s, 0) })
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(useAllEach):
+		}
+	}
+}
+
 func (c *Clients) begin(f func()) {
 	c.all.Add(1)
 	go func() { defer c.all.Done(); f() }()
@@ -200,7 +219,7 @@
 		time.Sleep(splitPause)
 		text = text[at:]
 	}
-	s.SentAt = c.ledger.Now()
+	s.SentAt, s.Fresh = c.ledger.Now(), conn.fresh
 	c.ledger.Submit(s)
 	if _, err := io.WriteString(conn, text); err != nil {
 		return nil, errNotWritten
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -47,7 +47,7 @@
 	servers []Server // in the order first told
 	changed []int    // by place: the version of its last change
 	version int
-	bindsAt time.Duration // what is not told counts as told by then: its watch is broken, or its address has moved
+	bindsAt time.Duration // what changes before then counts as told then, as its address has moved
 	wake    chan struct{}
 	silent  bool
 	deaf    bool     // notices get no answer
@@ -64,18 +64,33 @@
 	return a
 }
 
+// address is one at which an agent is served.
+type address struct {
+	addr     string
+	listener net.Listener
+	server   *http.Server
+}
+
+// retire takes no new connection from now on, and closes the open ones a moment later.
+func (d *address) retire() {
+	d.listener.Close()
+	time.AfterFunc(oldAddressEnds, d.close)
+}
+
+func (d *address) close() { d.server.Close() }
+
 // Listen serves at an address of its own, beside those that it has.
-func (a *Agent) Listen() (addr string, closeIt func(), err error) {
+func (a *Agent) Listen() (*address, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", nil, err
+		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/targets", a.list)
 	mux.HandleFunc("POST /v1/notices", a.notices)
 	server := &http.Server{Handler: mux}
 	go server.Serve(listener)
-	return listener.Addr().String(), func() { server.Close() }, nil
+	return &address{listener.Addr().String(), listener, server}, nil
 }
 
 // Known is the list as it stands.
@@ -145,26 +160,28 @@
 	a.deaf = deaf
 }
 
-// LoseWatches leaves the watches that are out unanswered for good.
+// LoseWatches leaves the watches that are out unanswered for good. What changes meanwhile counts as told at once all the same,
+// as the agent has it.
 func (a *Agent) LoseWatches() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lost++
-	a.bindsAt = a.ledger.Now() + lostBinds
 	a.awake()
 }
 
-// Move closes the books on the old address: what changes soon after is told by the new one.
+// Move closes the books on the old address: what changes soon after is told by the new one. Further moves in that time do
+// not put it off.
 func (a *Agent) Move() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bindsAt = max(a.bindsAt, a.ledger.Now()+movedBinds)
+	if now := a.ledger.Now(); a.bindsAt < now {
+		a.bindsAt = now + movedBinds
+	}
 }
 
-// What is missed counts as told so long after a watch has fallen silent, and after a new configuration.
 const (
-	lostBinds  = 6 * time.Second
-	movedBinds = 4 * time.Second
+	movedBinds     = 4 * time.Second         // what is told counts so long after a new configuration
+	oldAddressEnds = 1500 * time.Millisecond // after which open connections at the old address are closed
 )
 
 func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -27,6 +27,7 @@
 	Destination int
 	Sender      int
 	SentAt      time.Duration // its last byte was written
+	Fresh       bool          // on a new connection
 	Deadline    time.Duration // until when it may be delivered
 	Status      int           // of the answer, 0 for none
 	AnsweredAt  time.Duration
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -41,13 +41,14 @@
 	AcceptFails       TroubleKind = "accept fails"
 	ConnectFails      TroubleKind = "connect fails"
 	OpenFails         TroubleKind = "files cannot be opened"
+	ClientsCrowd      TroubleKind = "clients crowd"
 )
 
 // AllTroubles are the kinds that a plan draws from unless it is told others.
 var AllTroubles = []TroubleKind{EndpointsHang, EndpointsFail, EndpointsShut, EndpointsLimit, EndpointsBreak, EndpointsBabble,
 	EndpointsReplaced, LinksLate, LinksCut, LinksReset, LinksChopped, ClientsChopped, DiscoverySilent, WatchesLost, SendersTerminated,
 	SendersKilled, SendersReloaded, SendersPaused, SendersUpgraded, KilledAtAnAnswer, DescriptorsShort, ClockForward, ClockBack, DiskFull, DiskErrors, DiskTorn, AcceptFails,
-	ConnectFails, OpenFails}
+	ConnectFails, OpenFails, ClientsCrowd}
 
 // lasting is the span, least and most, of the kinds that have one other than the usual.
 var lasting = map[TroubleKind][2]time.Duration{
@@ -59,6 +60,7 @@
 	AcceptFails:      {300 * time.Millisecond, time.Second},
 	ConnectFails:     {300 * time.Millisecond, 1500 * time.Millisecond},
 	OpenFails:        {300 * time.Millisecond, 1200 * time.Millisecond},
+	ClientsCrowd:     {2 * time.Second, 6 * time.Second},
 }
 
 var usuallyLasting = [2]time.Duration{600 * time.Millisecond, 2500 * time.Millisecond}
@@ -94,6 +96,11 @@
 	return fmt.Sprintf("%s, destination %d", at, t.Destination)
 }
 
+// signals draws what is left open by a trouble that sends signals to a sender.
+func (t Trouble) signals(seed uint64, sender int) *rand.Rand {
+	return rand.New(rand.NewPCG(seed+uint64(sender)<<32, uint64(t.From)))
+}
+
 // active reports whether a trouble lasts at a time.
 func (t Trouble) active(now time.Duration) bool { return t.From <= now && now < t.Until }
 
@@ -102,6 +109,7 @@
 	knotEach   = 3 * time.Second         // and again after each such span, two or three overlapping
 	knotSpread = 800 * time.Millisecond
 	knotsEnd   = 2 * time.Second // before the end of the load
+	crowdMost  = 3               // senders that have a crowd at a time: it takes descriptors here, too
 )
 
 // drawPlan draws the troubles of a run.
@@ -131,6 +139,9 @@
 		return t
 	}
 	struck := 1 + r.IntN(o.Senders)
+	if kind == ClientsCrowd {
+		struck = min(struck, crowdMost)
+	}
 	t.Senders = r.Perm(o.Senders)[:struck]
 	slices.Sort(t.Senders)
 	switch kind {
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -36,6 +36,7 @@
 	upgradePorts = 9100
 	killAfter    = 3700 * time.Millisecond // from SIGTERM to SIGKILL
 	restartRest  = 600 * time.Millisecond  // from SIGKILL to the next start
+	reloadAfter  = time.Second             // from its start a process gets no SIGHUP for so long
 )
 
 // Process is one sender: its folder and addresses, and the process that runs at a time.
@@ -66,6 +67,8 @@
 	exited   chan struct{}
 	expected *atomic.Bool // it was told to end
 	admin    string
+	started  time.Time
+	ready    time.Time // the zero time before
 }
 
 func (p *Process) config() string { return filepath.Join(p.folder, "config.json") }
@@ -120,6 +123,7 @@
 	}
 	p.mu.Lock()
 	p.instance = *next
+	p.ready = time.Now()
 	p.mu.Unlock()
 	old.expected.Store(true)
 	old.running.Process.Signal(syscall.SIGTERM)
@@ -161,7 +165,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	i := &instance{running: cmd, exited: make(chan struct{}), expected: new(atomic.Bool), admin: admin}
+	i := &instance{running: cmd, exited: make(chan struct{}), expected: new(atomic.Bool), admin: admin, started: time.Now()}
 	go func() {
 		err := cmd.Wait()
 		detail := ""
@@ -181,9 +185,12 @@
 
 // awaitReady waits until the sender takes clients.
 func (p *Process) awaitReady(i *instance) error {
-	err := p.await(i, p.ready)
+	err := p.await(i, p.isReady)
 	if err == nil {
 		p.ledger.Live(p.Number, Ready, "")
+		p.mu.Lock()
+		p.ready = time.Now()
+		p.mu.Unlock()
 	}
 	return err
 }
@@ -210,7 +217,7 @@
 	return fmt.Errorf("sender %d was not ready within %v", p.Number, readyWithin)
 }
 
-func (p *Process) ready() bool {
+func (p *Process) isReady() bool {
 	c, err := net.DialTimeout("tcp", p.Addr, time.Second)
 	if err != nil {
 		return false
@@ -247,15 +254,17 @@
 	<-exited
 }
 
-// Terminate ends the process by SIGTERM, and by SIGKILL if it is still there at the end of its time. The error tells that
-// it did not end by itself.
+// Terminate ends the process by SIGTERM, and by SIGKILL if it is still there at the earliest time for that. It returns at that
+// time in any case. The error tells that the process did not end by itself.
 func (p *Process) Terminate() error {
+	kill := time.After(killAfter)
 	exited := p.told(Terminated)
 	p.signal(syscall.SIGTERM)
+	<-kill
 	select {
 	case <-exited:
 		return nil
-	case <-time.After(killAfter):
+	default:
 	}
 	p.Kill()
 	return fmt.Errorf("sender %d had to be killed after SIGTERM", p.Number)
@@ -268,7 +277,14 @@
 	p.signal(syscall.SIGCONT)
 }
 
-// Reload moves discovery to another address and tells the process.
+// mayReload reports whether the platform may send SIGHUP: not in a process's first second, nor before it is ready.
+func (p *Process) mayReload() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running != nil && !p.ready.IsZero() && time.Since(p.started) > reloadAfter
+}
+
+// Reload gives the process a configuration with an address of discovery, which may be the one that it has.
 func (p *Process) Reload(discovery string) error {
 	p.mu.Lock()
 	p.discovery = discovery
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -16,6 +17,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -48,7 +50,10 @@
 	capacityBy    = 2.0 // a destination's capacity over its mean traffic
 	afterLoad     = 8 * time.Second
 	goneAfter     = 1500 * time.Millisecond // from draining to gone
-	oldAgentEnds  = 1500 * time.Millisecond // after a move
+	seriesMost    = 4                       // signals in a row,
+	seriesLeast   = 200 * time.Millisecond  // so far apart
+	seriesSpread  = 400 * time.Millisecond  // and up to so much further
+	besideMost    = 120 * time.Millisecond  // between a SIGTERM and the signals beside it
 	sharesEach    = 3                       // every such destination takes several messages in one call
 	latencyMost   = 60_000
 )
@@ -65,7 +70,9 @@
 	agents    []*Agent
 	processes []*Process
 	clients   []*Clients
-	busy      []sync.Mutex
+	busy      []sync.Mutex // held while a sender's process is ended and started
+	starting  []sync.Mutex // held while one starts: there is no SIGHUP then
+	addresses []*address   // of each sender's agent; guarded by starting
 
 	mu        sync.Mutex
 	endpoints []*Endpoint
@@ -76,7 +83,7 @@
 
 // Run plays a run and judges it. The error is for what kept it from being played.
 func Run(o Options) (*Report, error) {
-	r := &run{Options: o, number: runs.Add(1), rules: DefaultRules(), ledger: NewLedger(), links: map[string][]*Proxy{}, busy: make([]sync.Mutex, o.Senders)}
+	r := &run{Options: o, number: runs.Add(1), rules: DefaultRules(), ledger: NewLedger(), links: map[string][]*Proxy{}, busy: make([]sync.Mutex, o.Senders), starting: make([]sync.Mutex, o.Senders)}
 	defer r.close()
 	if r.plan = o.Plan; r.plan == nil {
 		r.plan = drawPlan(o)
@@ -128,13 +135,14 @@
 	}
 	for i := range r.Senders {
 		agent := NewAgent(r.ledger, i, lists[i])
-		addr, closeIt, err := agent.Listen()
+		at, err := agent.Listen()
 		if err != nil {
 			return err
 		}
-		r.closers = append(r.closers, closeIt)
+		r.closers = append(r.closers, at.close)
+		r.addresses = append(r.addresses, at)
 		r.agents = append(r.agents, agent)
-		process, err := r.newProcess(i, addr, agent)
+		process, err := r.newProcess(i, at.addr, agent)
 		if err != nil {
 			return err
 		}
@@ -302,11 +310,13 @@
 	case EndpointsReplaced:
 		r.note(r.replace(t))
 	case SendersTerminated:
-		r.each(t, func(i int) { r.restart(i, r.processes[i].Terminate) })
+		r.each(t, func(i int) { r.terminate(i, t.signals(r.Seed, i)) })
 	case SendersKilled:
 		r.each(t, func(i int) { r.restart(i, func() error { r.processes[i].Kill(); return nil }) })
 	case SendersReloaded:
-		r.each(t, func(i int) { r.note(r.reload(i)) })
+		r.each(t, func(i int) { r.reloadInSeries(i, t.signals(r.Seed, i)) })
+	case ClientsCrowd:
+		r.each(t, func(i int) { r.clients[i].crowd(r.processes[i].Addr, t.Until) })
 	case SendersUpgraded:
 		r.each(t, func(i int) { r.upgrade(i) })
 	case KilledAtAnAnswer:
@@ -345,15 +355,49 @@
 	defer r.busy[sender].Unlock()
 	r.note(end())
 	time.Sleep(restartRest)
+	r.starting[sender].Lock()
+	defer r.starting[sender].Unlock()
 	r.note(r.processes[sender].Start())
 }
 
+// terminate restarts a sender by SIGTERM, which may come amid other signals. Clients use every connection that stays open
+// until the process is gone.
+func (r *run) terminate(sender int, draw *rand.Rand) {
+	before, after, again := draw.IntN(3) == 0, draw.IntN(2) == 0, draw.IntN(3) == 0
+	r.restart(sender, func() error {
+		if before {
+			r.note(r.reload(sender, true))
+			time.Sleep(time.Duration(draw.Int64N(int64(besideMost))))
+		}
+		gone := make(chan struct{})
+		var others sync.WaitGroup
+		others.Add(2)
+		go func() { defer others.Done(); r.clients[sender].UseAll(gone) }()
+		go func() {
+			defer others.Done()
+			time.Sleep(time.Duration(draw.Int64N(int64(besideMost))))
+			if after {
+				r.reloadInSeries(sender, draw)
+			}
+			if again {
+				r.processes[sender].signal(syscall.SIGTERM)
+			}
+		}()
+		err := r.processes[sender].Terminate()
+		close(gone)
+		others.Wait()
+		return err
+	})
+}
+
 // upgrade starts a sender's next process beside the one that runs, where it has a socket to pass, and ends that.
 func (r *run) upgrade(sender int) {
 	if !r.processes[sender].passes() || !r.busy[sender].TryLock() {
 		return
 	}
 	defer r.busy[sender].Unlock()
+	r.starting[sender].Lock()
+	defer r.starting[sender].Unlock()
 	r.note(r.processes[sender].Upgrade())
 }
 
@@ -367,21 +411,40 @@
 	}
 }
 
-// reload moves a sender's discovery to another address. The old one ends a moment later.
-func (r *run) reload(sender int) error {
-	if !r.busy[sender].TryLock() {
+// reloadInSeries gives a sender one to four new configurations in a row, most of which move discovery.
+func (r *run) reloadInSeries(sender int, draw *rand.Rand) {
+	for range 1 + draw.IntN(seriesMost) {
+		r.note(r.reload(sender, draw.IntN(4) > 0))
+		time.Sleep(seriesLeast + time.Duration(draw.Int64N(int64(seriesSpread))))
+	}
+}
+
+// reload gives a sender a new configuration, unless it is just starting. Where that moves discovery, the old address takes no
+// new connections any more and ends a moment later.
+func (r *run) reload(sender int, moves bool) error {
+	if !r.starting[sender].TryLock() {
 		return nil
 	}
-	defer r.busy[sender].Unlock()
-	addr, closeIt, err := r.agents[sender].Listen()
+	defer r.starting[sender].Unlock()
+	if !r.processes[sender].mayReload() {
+		return nil
+	}
+	if !moves {
+		return r.processes[sender].Reload(r.addresses[sender].addr)
+	}
+	at, err := r.agents[sender].Listen()
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
-	r.closers = append(r.closers, closeIt)
+	r.closers = append(r.closers, at.close)
 	r.mu.Unlock()
+	old := r.addresses[sender]
+	r.addresses[sender] = at
 	r.agents[sender].Move()
-	return r.processes[sender].Reload(addr)
+	err = r.processes[sender].Reload(at.addr)
+	old.retire()
+	return err
 }
 
 // replace drains the endpoints of a destination one after another and puts new ones in their place.
@@ -451,6 +514,11 @@
 	return r.struck(sender, at, AcceptFails, DescriptorsShort, SendersPaused, ClientsChopped)
 }
 
+// crowded reports whether a crowd keeps a sender from taking new connections at a time, or has just done so.
+func (r *run) crowded(sender int, at time.Duration) bool {
+	return r.struck(sender, at, ClientsCrowd) || r.struck(sender, at-crowdPasses, ClientsCrowd)
+}
+
 // report judges the run and ends the senders.
 func (r *run) report() *Report {
 	end := r.ledger.Now()
@@ -470,7 +538,7 @@
 	}
 	all.Wait()
 	total := r.Rate * float64(r.Senders)
-	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end, MayNotKnow: r.mayNotKnow, HeldUp: r.heldUp}
+	facts := Facts{Rules: r.rules, Tolerance: r.Tolerance, Outages: r.outages(), End: end, MayNotKnow: r.mayNotKnow, HeldUp: r.heldUp, Crowded: r.crowded}
 	for _, part := range r.parts {
 		facts.Capacity = append(facts.Capacity, capacityBy*part*total)
 	}
