--- a/internal/emulator/silence_test.go
+++ b/internal/emulator/silence_test.go
@@ -5,15 +5,20 @@
 	"time"
 )
 
-// silenceThen is a plan in which the agents of all senders are silent for a span, and learn at its end that the endpoints
-// of a destination drain.
-func silenceThen(senders int, from, until time.Duration, destination int) []Trouble {
-	all := make([]int, senders)
+// everySender is the numbers of all senders of a test.
+func everySender() []int {
+	all := make([]int, testSenders)
 	for i := range all {
 		all[i] = i
 	}
+	return all
+}
+
+// silenceThen is a plan in which the agents of all senders are silent for a span, and learn at its end that the endpoints
+// of a destination drain.
+func silenceThen(from, until time.Duration, destination int) []Trouble {
 	return []Trouble{
-		{Kind: DiscoverySilent, From: from, Until: until, Senders: all},
+		{Kind: DiscoverySilent, From: from, Until: until, Senders: everySender()},
 		{Kind: EndpointsReplaced, From: until - 100*time.Millisecond, Until: until, Destination: destination},
 	}
 }
@@ -28,10 +33,49 @@
 			var plan []Trouble
 			from := 1500 * time.Millisecond
 			for destination := range 3 {
-				plan = append(plan, silenceThen(testSenders, from, from+length, destination)...)
+				plan = append(plan, silenceThen(from, from+length, destination)...)
 				from += length + time.Second
 			}
 			testRun(t, Options{Seed: 28, Load: from + time.Second, Plan: plan})
 		})
 	}
 }
+
+// A sender that cannot ask its agent, as its machine lets it open no socket for a moment, does not know whether the list has
+// changed: it calls nobody by a list of which it is not sure.
+func TestDrainsToldWhileTheAgentCannotBeAskedAreHeeded(t *testing.T) {
+	t.Parallel()
+	for name, kinds := range map[string][2]TroubleKind{
+		"silence, no connects":      {DiscoverySilent, ConnectFails},
+		"silence, no descriptors":   {DiscoverySilent, DescriptorsShort},
+		"lost watch, no connects":   {WatchesLost, ConnectFails},
+		"new address, no open file": {SendersReloaded, OpenFails},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const cannotAsk = 1900 * time.Millisecond
+			all := everySender()
+			var plan []Trouble
+			from := 2500 * time.Millisecond
+			for destination := range 3 {
+				plan = append(plan, Trouble{Kind: kinds[0], From: from - 500*time.Millisecond, Until: from + 200*time.Millisecond, Senders: all},
+					Trouble{Kind: kinds[1], From: from - 510*time.Millisecond, Until: from - 510*time.Millisecond + cannotAsk, Senders: all},
+					Trouble{Kind: EndpointsReplaced, From: from - 300*time.Millisecond, Until: from, Destination: destination})
+				from += 3 * time.Second
+			}
+			testRun(t, Options{Seed: 28, Load: from, Plan: plan})
+		})
+	}
+}
+
+// A sender whose machine lets it open no socket for a moment, just as a new configuration moves discovery, still ends its messages
+// in time: connections at the old address stay open for 1.5 s.
+func TestNoticesAreToldWhileTheNewAddressCannotBeReached(t *testing.T) {
+	t.Parallel()
+	var plan []Trouble
+	for from := 2 * time.Second; from < 12*time.Second; from += 3 * time.Second {
+		plan = append(plan, Trouble{Kind: SendersReloaded, From: from, Until: from + time.Millisecond, Senders: everySender()},
+			Trouble{Kind: ConnectFails, From: from - 10*time.Millisecond, Until: from + time.Second, Senders: everySender()})
+	}
+	testRun(t, Options{Seed: 29, Load: 12 * time.Second, Plan: plan})
+}
