Send nothing by a list that may have changed while discovery cannot be asked

Cause: with a watch lost or an agent silent, and no socket to be had, nothing could bring the news of a drain, and calls went on.

--- a/brain/api.go
+++ b/brain/api.go
@@ -83,7 +83,7 @@
 	DestinationID uint32
 )
 
-// Event is one of Message, AttemptEnd, WaitTold, KnownOutages, Storage, Withdrawn, ListNews, NewSettings and Alarm.
+// Event is one of Message, AttemptEnd, WaitTold, KnownOutages, Storage, ListStale, Withdrawn, ListNews, NewSettings and Alarm.
 type Event interface{ event() }
 
 // Message hands in a new message. The Brain ends it exactly once; one of a class that the settings lack is
@@ -174,6 +174,9 @@
 // Storage says whether the sender can write down what it does. While it cannot, nothing is sent.
 type Storage struct{ Failing bool }
 
+// ListStale says whether the list may have changed unnoticed, as nobody can be asked for it. While it is stale, nothing is sent.
+type ListStale struct{ Stale bool }
+
 // Withdrawn says that nobody wants the message any more.
 type Withdrawn struct{ Message MessageID }
 
@@ -204,6 +207,7 @@
 func (AttemptEnd) event()  {}
 func (WaitTold) event()    {}
 func (Storage) event()     {}
+func (ListStale) event()   {}
 func (Withdrawn) event()   {}
 func (ListNews) event()    {}
 func (NewSettings) event() {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -294,6 +294,8 @@
 			b.ended(e)
 		case Storage:
 			b.halted = e.Failing
+		case ListStale:
+			b.listStale = e.Stale
 		case KnownOutages:
 			b.recallOutages(e.Outages)
 		case WaitTold:
@@ -480,7 +482,7 @@
 
 // sendAll fills the free slots, the best message first.
 func (b *Brain) sendAll() {
-	if b.halted {
+	if b.halted || b.listStale {
 		return
 	}
 	type offer struct {
--- a/brain/holdup_test.go
+++ b/brain/holdup_test.go
@@ -5,6 +5,18 @@
 	"time"
 )
 
+// By a list that may have changed unnoticed nobody is called; what waits meanwhile goes out when it is sure again.
+func TestNothingIsSentWhileTheListIsStale(t *testing.T) {
+	r := newRig(t, settings())
+	if sends := r.step(ListStale{true}, r.message(0, 0, 0)); len(sends) > 0 {
+		t.Errorf("%d sends by a stale list", len(sends))
+	}
+	r.now += time.Second
+	if sends := r.step(ListStale{false}); len(sends) != 1 {
+		t.Errorf("%d sends when it is fresh again", len(sends))
+	}
+}
+
 // A sender may be held up for 0.15 s between reading its clock and writing. A repeat that is decided on has to arrive while
 // its key is remembered all the same.
 func TestAKeyWindowAllowsForAHoldUp(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -192,6 +192,7 @@
 	fresh     int              // of them in this batch
 	adopted   map[uint64]*call // calls that another process had out
 	halted    bool             // nothing may be sent: it could not be written down
+	listStale bool             // nothing may be sent: its endpoint may drain by now
 	changed   []*route         // whose state has changed in this batch
 }
 
--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"time"
@@ -67,6 +68,7 @@
 	first    time.Duration // before the first call; no time at all where a single process has been replaced
 	pace     time.Duration // this one's rest after a refusal; it belongs to the watch
 	asks     bool          // the module asks for each call after a failure; else lists are pushed
+	fresh    freshness     // of the list, where it is pushed
 	figures  *figures
 	log      *slog.Logger
 
@@ -189,12 +191,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			d.fresh.called()
+		}
+	}})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return t.Targets, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
+		d.fresh.failed(err)
 		return t.Targets, err
 	}
 	defer resp.Body.Close()
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -627,7 +627,7 @@
 	go s.awaitSuccessor(ctx)
 	waiting := s.passed
 	s.passed = map[uint64]passedOn{}
-	var events []brain.Event
+	events := []brain.Event{brain.ListStale{Stale: s.disc.fresh.isStale()}}
 	for _, m := range old {
 		for attempt, c := range m.calls {
 			if c.end != nil { // the dead one may have heard it, and then it is in the journal
--- a/internal/sender/listwatch.go
+++ b/internal/sender/listwatch.go
@@ -48,6 +48,7 @@
 	refusedCall    = "refused" // by the platform
 	silentCall     = "silent"  // a first call had no answer in its time
 	movedDiscovery = "moved"   // to another address
+	staleList      = "stale"   // no call could be made for longer than a list is sure
 )
 
 // watchWait is how long a watch call waits for news.
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -99,6 +99,7 @@
 		until    time.Time
 	}
 	toldEvent   struct{ notices []notice }
+	staleEvent  struct{ stale bool }
 	reloadEvent struct{ *Config }
 )
 
@@ -283,6 +284,9 @@
 		known, s.disc.first = st.ListVersion, 0
 	}
 	s.pool.waitTold = func(e *endpoint, wait time.Duration) { s.post(work, waitEvent{e.number, time.Now().Add(wait)}) }
+	if !s.c.Settings.AsksForList {
+		s.disc.fresh.changed = func(stale bool) { s.post(work, staleEvent{stale}) }
+	}
 	s.disc.keepSpare()
 	go s.disc.follow(work, known, s.asked,
 		func(t Targets) { s.post(work, listEvent{t}) }, func(err error) { s.post(work, failedEvent{err}) })
@@ -490,6 +494,8 @@
 		s.logList(e.Version, changes)
 		s.journal.noteList(e.Version, changes)
 		return one(s.news(e.Targets, e.Full))
+	case staleEvent:
+		return one(s.listStale(e.stale))
 	case failedEvent:
 		s.log.Warn("discovery failed", "err", e.err)
 		if !s.c.Settings.AsksForList {
@@ -511,6 +517,18 @@
 	return nil
 }
 
+// listStale books whether the list is stale. What has not been written by then is not written any more.
+func (s *Sender) listStale(stale bool) brain.Event {
+	if stale {
+		s.figures.reason(reasonDiscovery, staleList)
+		s.log.Warn("the list is stale: discovery cannot be asked, and nothing is sent")
+		s.withhold(func(*outCall) bool { return true })
+	} else {
+		s.log.Info("the list is fresh again")
+	}
+	return brain.ListStale{Stale: stale}
+}
+
 // logList logs what a list changes: one line, and where the log level asks for it one for each endpoint that takes nothing
 // new any more.
 func (s *Sender) logList(version int64, changes []Target) {
