Tell notices at the address before while the new one cannot be connected to

Cause: a new configuration moved notices at once, and while the machine lets no socket be opened there is no connection to the new address. The connection kept ready to the old one was closed, which stays open there for 1.5 s. Change: it is kept, and used when a connection to the new address fails; all of it is owed to the new one still, as what is told twice does no harm. Also, a failed dial no longer closes connections that stand.

--- a/internal/sender/notifier.go
+++ b/internal/sender/notifier.go
@@ -6,8 +6,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -19,7 +21,9 @@
 	noticeTime  = 500 * time.Millisecond
 	noticeRest  = 10 * time.Millisecond // before the next try; doubles
 	noticeMost  = 40 * time.Millisecond // up to this: the agent is on this machine, and takes notices at no cost
-	noticeBatch = 256                   // notices in one call
+	// Until what an address before has taken is told at the new one.
+	noticeBefore = 100 * time.Millisecond
+	noticeBatch  = 256 // notices in one call
 )
 
 // notice is a line on a message that was taken on and not delivered.
@@ -50,8 +54,11 @@
 			failures = 0
 		} else {
 			batch = nil
-			d.notifier.CloseIdleConnections() // they may be as silent
-			if failures++; !rest(here, min(noticeRest<<min(failures-1, 10), noticeMost)) {
+			pause := min(noticeRest<<min(failures, 10), noticeMost)
+			if d.postBefore(here, err, lines.Bytes()) {
+				pause = noticeBefore
+			}
+			if failures++; !rest(here, pause) {
 				failures = 0 // it has moved
 			}
 		}
@@ -63,6 +70,19 @@
 	}
 }
 
+// postBefore tells the address before the last move what could not be told at the new one, for want of a connection: open ones
+// stay there for a moment. It all goes to the new address as well, once that can be reached. A connection that failed
+// otherwise may be silent, and so may others to the same address: they are closed.
+func (d *discovery) postBefore(ctx context.Context, err error, lines []byte) (told bool) {
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Op != "dial" {
+		d.notifier.CloseIdleConnections()
+		return false
+	}
+	left := d.spare.leftAddress()
+	return left != "" && d.post(ctx, "http://"+left, lines, noticeFirst) == nil
+}
+
 func (d *discovery) post(ctx context.Context, base string, lines []byte, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/internal/sender/spareconn.go
+++ b/internal/sender/spareconn.go
@@ -8,13 +8,16 @@
 )
 
 // spareDialer opens connections and keeps one ready that nobody uses yet: what is due within 0.3 s cannot wait until a
-// machine that is short of something lets a socket be opened again. It is safe for concurrent use.
+// machine that is short of something lets a socket be opened again. After a move the one to the address before is kept, too,
+// until that closes it. It is safe for concurrent use.
 type spareDialer struct {
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu      sync.Mutex
 	spare   net.Conn // nil for none
 	addr    string   // where it leads, or has to
+	before  net.Conn // to the address before, nil for none
+	left    string   // that address
 	filling bool     // one is being opened
 	closed  bool     // none is wanted any more
 }
@@ -27,37 +30,47 @@
 
 // DialContext gives the spare connection if it still stands, or opens one.
 func (d *spareDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	if c := d.take(addr); c != nil {
+	c, again := d.take(addr)
+	if again {
 		go d.keep(addr)
+	}
+	if c != nil {
 		return c, nil
 	}
 	return d.dial(ctx, network, addr)
 }
 
-// take takes the spare connection to addr, nil if there is none that stands.
-func (d *spareDialer) take(addr string) net.Conn {
+// take takes the connection that is kept to addr, nil if there is none that stands, and reports whether a further one is wanted.
+func (d *spareDialer) take(addr string) (c net.Conn, again bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.spare
-	if c == nil || d.addr != addr {
-		return nil
+	switch addr {
+	case d.addr:
+		c, d.spare, again = d.spare, nil, true
+	case d.left:
+		c, d.before = d.before, nil
 	}
-	d.spare = nil
-	if !quiet(c) {
+	if c != nil && !quiet(c) {
 		c.Close()
-		return nil
+		c = nil
 	}
-	return c
+	return c, again
 }
 
 // keep sees to it that there is a spare connection to addr: one that no longer stands, or leads elsewhere, is replaced, as soon
 // as a socket can be had.
 func (d *spareDialer) keep(addr string) {
 	d.mu.Lock()
-	if d.spare != nil && (d.addr != addr || !quiet(d.spare)) {
+	if d.spare != nil && !quiet(d.spare) {
 		d.spare.Close()
 		d.spare = nil
 	}
+	if d.spare != nil && d.addr != addr {
+		if d.before != nil {
+			d.before.Close()
+		}
+		d.before, d.left, d.spare = d.spare, d.addr, nil
+	}
 	d.addr = addr
 	fills := d.spare == nil && !d.filling && !d.closed
 	d.filling = d.filling || fills
@@ -88,13 +101,22 @@
 	return !d.filling
 }
 
-// close ends the spare connection, for good.
+// leftAddress is the address before the last move to which a connection has stood, "" for none.
+func (d *spareDialer) leftAddress() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.left
+}
+
+// close ends the connections that are kept, for good.
 func (d *spareDialer) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	if d.spare != nil {
-		d.spare.Close()
-		d.spare = nil
+	for _, c := range []net.Conn{d.spare, d.before} {
+		if c != nil {
+			c.Close()
+		}
 	}
+	d.spare, d.before = nil, nil
 }
