--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -124,10 +124,11 @@
 	if err != nil {
 		return
 	}
-	sender := 0
-	if _, err := fmt.Sscanf(line, "sender %d", &sender); err != nil {
+	sender, held := 0, int64(0)
+	if _, err := fmt.Sscanf(line, "sender %d %d", &sender, &held); err != nil {
 		return
 	}
+	heldFor := time.Duration(held) * time.Microsecond
 	for {
 		path, parts, err := readCall(r)
 		if err != nil {
@@ -136,8 +137,9 @@
 		var attempts []*Attempt
 		call := e.calls.Add(1)
 		for _, p := range parts {
-			attempts = append(attempts, e.ledger.Begin(Attempt{ID: p.ID, Endpoint: e.ID, Destination: e.Destination, Sender: sender, Body: string(p.Body), Call: call}))
+			attempts = append(attempts, e.ledger.Begin(Attempt{ID: p.ID, Endpoint: e.ID, Destination: e.Destination, Sender: sender, Body: string(p.Body), Call: call, HeldFor: heldFor}))
 		}
+		heldFor = 0 // that was the first call
 		if !e.answer(c, r, path, parts, attempts) {
 			return
 		}
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -46,12 +46,16 @@
 	Body        string
 	Call        uint64        // at this endpoint; attempts that travel together share it
 	At          time.Duration // its last byte arrived
+	HeldFor     time.Duration // its link kept its first byte back for so long, as if the connection came up late
 	EndedAt     time.Duration // it was answered or its connection ended; 0 while it is out
 	Status      int           // of the answer, 0 for none
 	MayRun      bool          // the endpoint did the work, or may have
 	Wait        time.Duration // told with the answer
 }
 
+// sentAt is when its sender began to write the call.
+func (a *Attempt) sentAt() time.Duration { return a.At - a.HeldFor }
+
 // mayHaveRun reports whether the endpoint did the work of a call, or may have, or may yet.
 func (a *Attempt) mayHaveRun() bool { return a.MayRun || a.EndedAt == 0 }
 
--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -32,7 +32,7 @@
 type Proxy struct {
 	Addr string
 
-	preface string // written first to the far side
+	preface string // written first to the far side, with how long the first call has been held back (µs); "" for nothing
 	target  func() string
 	fault   func() LinkFault
 	refused func() // the target takes no connection; nil if nobody asks
@@ -100,9 +100,11 @@
 		return
 	}
 	defer p.forget(near)
+	var early []byte // what came on a late connection before it relays
+	var heldFor time.Duration
 	switch p.fault() {
 	case LinkLate:
-		time.Sleep(lateFor)
+		early, heldFor = holdBack(near, lateFor)
 	case LinkCut:
 		p.waitOutCut()
 		reset(near)
@@ -121,7 +123,12 @@
 		return
 	}
 	defer p.forget(far)
-	if _, err := io.WriteString(far, p.preface); err != nil {
+	if p.preface != "" {
+		if _, err := fmt.Fprintf(far, "%s %d\n", p.preface, heldFor.Microseconds()); err != nil {
+			return
+		}
+	}
+	if _, err := far.Write(early); err != nil {
 		return
 	}
 	var both sync.WaitGroup
@@ -131,6 +138,30 @@
 	both.Wait()
 }
 
+// holdBack takes what comes on a connection for a time, and gives it with the time since its first byte.
+func holdBack(c net.Conn, lasting time.Duration) (early []byte, heldFor time.Duration) {
+	until := time.Now().Add(lasting)
+	c.SetReadDeadline(until)
+	defer c.SetReadDeadline(time.Time{})
+	buffer := make([]byte, 32<<10)
+	var first time.Time
+	for {
+		n, err := c.Read(buffer)
+		if n > 0 && first.IsZero() {
+			first = time.Now()
+		}
+		early = append(early, buffer[:n]...)
+		if err != nil {
+			break
+		}
+	}
+	time.Sleep(time.Until(until)) // where its other side has gone
+	if !first.IsZero() {
+		heldFor = time.Since(first)
+	}
+	return early, heldFor
+}
+
 func (p *Proxy) waitOutCut() {
 	for p.fault() == LinkCut {
 		time.Sleep(cutLook)
@@ -189,4 +220,4 @@
 }
 
 // prefaceOf tells an endpoint which sender a relayed connection is from.
-func prefaceOf(sender int) string { return fmt.Sprintf("sender %d\n", sender) }
+func prefaceOf(sender int) string { return fmt.Sprintf("sender %d", sender) }
