--- /dev/null
+++ b/internal/sender/listevents.go
@@ -0,0 +1,68 @@
+package sender
+
+import "dockshift.example/dockshift/brain"
+
+// What the loop does with news of the endpoint list.
+
+// relist is the list as news for a module that knows nothing yet: each endpoint once, so that the calls that are
+// out have theirs even if it drains or is gone, and then the list as it is.
+func (s *Sender) relist() []brain.Event {
+	var all, now brain.ListNews
+	all.Whole, now.Whole = true, true
+	for _, e := range s.list.byNumber {
+		line := s.list.line(e.target, s.c, s.pool)
+		ready := line
+		ready.Ready = true
+		all.Endpoints, now.Endpoints = append(all.Endpoints, ready), append(now.Endpoints, line)
+	}
+	return []brain.Event{all, now}
+}
+
+// listStale books whether the list is stale. What has not been written by then is not written any more.
+func (s *Sender) listStale(stale bool) brain.Event {
+	if stale {
+		s.figures.reason(reasonDiscovery, staleList)
+		s.log.Warn("the list is stale: discovery cannot be asked, and nothing is sent")
+		s.withhold(func(*outCall) bool { return true })
+	} else {
+		s.log.Info("the list is fresh again")
+	}
+	return brain.ListStale{Stale: stale}
+}
+
+// logList logs what a list changes: one line, and where the log level asks for it one for each endpoint that takes nothing
+// new any more.
+func (s *Sender) logList(version int64, changes []Target) {
+	if len(changes) == 0 {
+		return
+	}
+	stopped := 0
+	for _, t := range changes {
+		if t.State != stateServing {
+			stopped++
+			s.log.Debug("endpoint stops", "endpoint", t.ID, "state", t.State, "version", version)
+		}
+	}
+	s.log.Info("list changed", "version", version, "endpoints", len(changes), "not_serving", stopped)
+}
+
+func (s *Sender) news(t Targets, whole bool) brain.Event {
+	news := brain.ListNews{Whole: whole}
+	s.listVersion = t.Version
+	if whole {
+		s.list.clear()
+	}
+	for _, line := range t.Servers {
+		news.Endpoints = append(news.Endpoints, s.list.line(line, s.c, s.pool))
+	}
+	return news
+}
+
+// ask begins a watch of the list. Where the settings have the list pushed, the module asks for nothing, and the
+// sender watches by itself from its start on: on sockets a change comes to nobody unasked.
+func (s *Sender) ask() {
+	select {
+	case s.asked <- struct{}{}:
+	default:
+	}
+}
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -409,20 +408,6 @@
 	s.step(ctx, events)
 }
 
-// relist is the list as news for a module that knows nothing yet: each endpoint once, so that the calls that are
-// out have theirs even if it drains or is gone, and then the list as it is.
-func (s *Sender) relist() []brain.Event {
-	var all, now brain.ListNews
-	all.Whole, now.Whole = true, true
-	for _, e := range s.list.byNumber {
-		line := s.list.line(e.target, s.c, s.pool)
-		ready := line
-		ready.Ready = true
-		all.Endpoints, now.Endpoints = append(all.Endpoints, ready), append(now.Endpoints, line)
-	}
-	return []brain.Event{all, now}
-}
-
 // predecessorCall stands for a call that the process before this one has out.
 func (s *Sender) predecessorCall(f flight) *outCall {
 	at := s.predecessor
@@ -482,7 +467,7 @@
 	case waitEvent:
 		return one(brain.WaitTold{Endpoint: e.endpoint, Wait: max(0, time.Until(e.until))})
 	case reloadEvent:
-		return s.retune(e.Config)
+		return s.applyConfig(e.Config)
 	case linkEvent:
 		return s.fromPredecessor(ctx, e)
 	case lockEvent:
@@ -517,46 +502,6 @@
 	return nil
 }
 
-// listStale books whether the list is stale. What has not been written by then is not written any more.
-func (s *Sender) listStale(stale bool) brain.Event {
-	if stale {
-		s.figures.reason(reasonDiscovery, staleList)
-		s.log.Warn("the list is stale: discovery cannot be asked, and nothing is sent")
-		s.withhold(func(*outCall) bool { return true })
-	} else {
-		s.log.Info("the list is fresh again")
-	}
-	return brain.ListStale{Stale: stale}
-}
-
-// logList logs what a list changes: one line, and where the log level asks for it one for each endpoint that takes nothing
-// new any more.
-func (s *Sender) logList(version int64, changes []Target) {
-	if len(changes) == 0 {
-		return
-	}
-	stopped := 0
-	for _, t := range changes {
-		if t.State != stateServing {
-			stopped++
-			s.log.Debug("endpoint stops", "endpoint", t.ID, "state", t.State, "version", version)
-		}
-	}
-	s.log.Info("list changed", "version", version, "endpoints", len(changes), "not_serving", stopped)
-}
-
-func (s *Sender) news(t Targets, whole bool) brain.Event {
-	news := brain.ListNews{Whole: whole}
-	s.listVersion = t.Version
-	if whole {
-		s.list.clear()
-	}
-	for _, line := range t.Servers {
-		news.Endpoints = append(news.Endpoints, s.list.line(line, s.c, s.pool))
-	}
-	return news
-}
-
 // flush writes the journal. What fails here is tried again by and by, and with the next message, which is refused.
 func (s *Sender) flush() bool {
 	err := s.journal.flush()
@@ -671,44 +616,6 @@
 	return nil
 }
 
-// Reload reads the configuration again and takes from it what may change in service: the platform's address and
-// the settings. A file that cannot be used changes nothing.
-func (s *Sender) Reload(ctx context.Context, getenv func(string) string) error {
-	var c *Config
-	err := keepTrying(ctx, s.log, "the new configuration", func() (err error) {
-		c, err = s.server.conf.Load().reload(s.env, getenv)
-		return err
-	})
-	if err != nil {
-		s.figures.reloaded(false)
-		return err
-	}
-	s.disc.move(c.Discovery)
-	if s.post(ctx, reloadEvent{c}) {
-		s.server.conf.Store(c) // from here on requests are read by it; the loop has it first
-	}
-	return nil
-}
-
-// retune goes on by a new configuration. Messages held keep the rules that they were taken under.
-func (s *Sender) retune(c *Config) []brain.Event {
-	s.c = c
-	s.pool.most.Store(int64(c.idleMost()))
-	s.figures.name(c.Classes)
-	s.figures.reloaded(true)
-	s.log.Info("reloaded", "discovery", c.Discovery, "classes", strings.Join(c.Classes, ","), "attempts", c.Settings.MaxAttempts)
-	return []brain.Event{brain.NewSettings{Settings: c.Settings}, s.relist()[1]}
-}
-
-// ask begins a watch of the list. Where the settings have the list pushed, the module asks for nothing, and the
-// sender watches by itself from its start on: on sockets a change comes to nobody unasked.
-func (s *Sender) ask() {
-	select {
-	case s.asked <- struct{}{}:
-	default:
-	}
-}
-
 func (s *Sender) endpoint(n brain.EndpointID) *endpoint {
 	e, err := s.list.number(n)
 	if err != nil {
--- /dev/null
+++ b/internal/sender/reload.go
@@ -0,0 +1,39 @@
+package sender
+
+import (
+	"context"
+	"strings"
+
+	"dockshift.example/dockshift/brain"
+)
+
+// New configurations in service.
+
+// Reload reads the configuration again and takes from it what may change in service: the platform's address and
+// the settings. A file that cannot be used changes nothing.
+func (s *Sender) Reload(ctx context.Context, getenv func(string) string) error {
+	var c *Config
+	err := keepTrying(ctx, s.log, "the new configuration", func() (err error) {
+		c, err = s.server.conf.Load().reload(s.env, getenv)
+		return err
+	})
+	if err != nil {
+		s.figures.reloaded(false)
+		return err
+	}
+	s.disc.move(c.Discovery)
+	if s.post(ctx, reloadEvent{c}) {
+		s.server.conf.Store(c) // from here on requests are read by it; the loop has it first
+	}
+	return nil
+}
+
+// applyConfig goes on by a new configuration. Messages held keep the rules that they were taken under.
+func (s *Sender) applyConfig(c *Config) []brain.Event {
+	s.c = c
+	s.pool.most.Store(int64(c.idleMost()))
+	s.figures.name(c.Classes)
+	s.figures.reloaded(true)
+	s.log.Info("reloaded", "discovery", c.Discovery, "classes", strings.Join(c.Classes, ","), "attempts", c.Settings.MaxAttempts)
+	return []brain.Event{brain.NewSettings{Settings: c.Settings}, s.relist()[1]}
+}
