Book that a request which is written once more comes on a new connection

Traced: the request (m7-87) crossed the end of a resting connection, and its second, new one was shut unread; the rig still had it as on the first one.

--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -142,8 +142,9 @@
 func (l *Ledger) Submit(s Submission) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known := l.submissions[s.ID]; known != nil {
-		return // written once more on a new connection, as the first one had ended
+	if known := l.submissions[s.ID]; known != nil { // written once more on a new connection, as the first one had ended
+		known.Fresh = s.Fresh
+		return
 	}
 	l.submissions[s.ID] = &s
 }
