--- a/internal/sender/faults_test.go
+++ b/internal/sender/faults_test.go
@@ -97,6 +97,43 @@
 	}
 }
 
+// everySecondFails is a listener with a long queue, of which every second accept fails.
+type everySecondFails struct {
+	net.Listener
+	calls atomic.Uint32
+	errno syscall.Errno
+}
+
+func (l *everySecondFails) Accept() (net.Conn, error) {
+	if l.calls.Add(1)%2 == 1 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", l.errno)}
+	}
+	ours, _ := net.Pipe()
+	return ours, nil
+}
+
+// A crowd in the queue is worked off also while accept fails for a moment: whoever waits there is owed an error or a close within
+// 3 s of having connected, and a request its answer within 0.4 s.
+func TestAQueueIsWorkedOffWhileAcceptFails(t *testing.T) {
+	t.Parallel()
+	const crowd, within = 300, time.Second
+	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EPROTO, syscall.ENETDOWN, syscall.ENFILE, syscall.ENOBUFS} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			d := newLimitListener(&everySecondFails{errno: errno}, crowd)
+			began := time.Now()
+			for range crowd {
+				if _, err := d.Accept(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if took := time.Since(began); took > within {
+				t.Errorf("%d connections are taken in within %v", crowd, took)
+			}
+		})
+	}
+}
+
 // stepped is the operating system's environment with its wall clock off by a step.
 func stepped(step time.Duration) Environment {
 	env := OperatingSystem()
