Let the soak play lists that come on request

Cause: all its deployments had lists pushed, so the longer times that hold for the others were never judged. Change: --on-request; a change binds when it is written, and at the latest 6 s after the agent has it.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -61,6 +61,7 @@
 	set.IntVar(&f.options.Destinations, "destinations", 6, "destinations, each with two endpoints")
 	set.Float64Var(&f.options.Rate, "rate", 8, "messages a second for each sender")
 	set.DurationVar(&f.options.Load, "load", 20*time.Second, "how long messages are handed in")
+	set.BoolVar(&f.options.OnRequest, "on-request", false, "lists come on request, and are not pushed")
 	set.DurationVar(&f.options.Tolerance, "tolerance", 150*time.Millisecond, "for the machine's own delays")
 	set.StringSliceVar(&f.only, "troubles", nil, "kinds of trouble to draw from, all if empty")
 	set.StringVar(&f.folder, "folder", "", "keeps states and logs there, else they are removed")
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -40,8 +40,9 @@
 // nothing, and calls that are out meanwhile stay unanswered when it speaks again. It takes notices at any time unless it
 // is told to refuse them.
 type Agent struct {
-	ledger *Ledger
-	sender int
+	ledger    *Ledger
+	sender    int
+	onRequest bool // the list is not pushed: a change binds when it is written, and at the latest onRequestBinds later
 
 	mu      sync.Mutex
 	servers []Server // in the order first told
@@ -56,8 +57,8 @@
 }
 
 // NewAgent holds a list from the start on.
-func NewAgent(l *Ledger, sender int, servers []Server) *Agent {
-	a := &Agent{ledger: l, sender: sender, version: 1, wake: make(chan struct{})}
+func NewAgent(l *Ledger, sender int, onRequest bool, servers []Server) *Agent {
+	a := &Agent{ledger: l, sender: sender, onRequest: onRequest, version: 1, wake: make(chan struct{})}
 	for _, s := range servers {
 		a.servers, a.changed = append(a.servers, s), append(a.changed, 1)
 	}
@@ -115,7 +116,11 @@
 func (a *Agent) apply(s Server) {
 	a.version++
 	if s.State != Serving {
-		a.ledger.Change(ListChange{a.sender, s.ID, max(a.ledger.Now(), a.bindsAt)})
+		binds := a.ledger.Now()
+		if a.onRequest {
+			binds += onRequestBinds
+		}
+		a.ledger.Change(ListChange{a.sender, s.ID, max(binds, a.bindsAt)})
 	}
 	for i := range a.servers {
 		if a.servers[i].ID == s.ID {
@@ -180,6 +185,7 @@
 }
 
 const (
+	onRequestBinds = 6 * time.Second         // what is not pushed counts at the latest so long after the agent has it
 	movedBinds     = 4 * time.Second         // what is told counts so long after a new configuration
 	oldAddressEnds = 1500 * time.Millisecond // after which open connections at the old address are closed
 )
@@ -213,10 +219,7 @@
 			<-r.Context().Done()
 			return
 		case ready:
-			if answer.Servers == nil {
-				answer.Servers = []Server{}
-			}
-			json.NewEncoder(w).Encode(answer)
+			a.write(w, answer)
 			return
 		}
 		select {
@@ -229,6 +232,19 @@
 	}
 }
 
+// write answers a call for the list. What is written is told.
+func (a *Agent) write(w http.ResponseWriter, answer List) {
+	if answer.Servers == nil {
+		answer.Servers = []Server{}
+	}
+	for _, s := range answer.Servers {
+		if a.onRequest && s.State != Serving {
+			a.ledger.Change(ListChange{a.sender, s.ID, a.ledger.Now()})
+		}
+	}
+	json.NewEncoder(w).Encode(answer)
+}
+
 func (a *Agent) notices(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
 	deaf := a.deaf
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -78,7 +78,7 @@
 	p.mu.Lock()
 	discovery := p.discovery
 	p.mu.Unlock()
-	text, err := json.Marshal(configFor(p.rules, p.senders, p.Number, discovery, filepath.Join(p.folder, "state"), p.known))
+	text, err := json.Marshal(configFor(p.rules, p.senders, p.Number, p.agent.onRequest, discovery, filepath.Join(p.folder, "state"), p.known))
 	if err != nil {
 		return err
 	}
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -30,6 +30,7 @@
 	Destinations int
 	Rate         float64       // messages a second that a sender gets in the mean
 	Load         time.Duration // messages are handed in for so long
+	OnRequest    bool          // lists come on request, and are not pushed
 	Troubles     []TroubleKind // to draw from
 	Plan         []Trouble     // in place of a drawn one
 	Folder       string        // for states, configurations and logs
@@ -134,7 +135,7 @@
 		}
 	}
 	for i := range r.Senders {
-		agent := NewAgent(r.ledger, i, lists[i])
+		agent := NewAgent(r.ledger, i, r.OnRequest, lists[i])
 		at, err := agent.Listen()
 		if err != nil {
 			return err
--- a/internal/emulator/settings.go
+++ b/internal/emulator/settings.go
@@ -29,28 +29,32 @@
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // settingsFor is the settings of one sender of a deployment.
-func settingsFor(r Rules, senders, number int) map[string]any {
+func settingsFor(r Rules, senders, number int, onRequest bool) map[string]any {
+	discovery := "pushed"
+	if onRequest {
+		discovery = "on_request"
+	}
 	class := func(e Effect) map[string]any {
 		return map[string]any{"name": e.String(), "slo": milliseconds(lifetimes[e] / 4), "giveUp": milliseconds(lifetimes[e]),
 			"effect":      []string{"read_like", "idempotency_key", "non_idempotent"}[e],
 			"dedupWindow": milliseconds(r.KeyWindow), "dedupScope": "all", "worth": 1.0, "lateValue": 0.5}
 	}
-	return map[string]any{"balancers": senders, "slotNo": number, "discovery": "pushed", "step": 5.0, "zone": 0,
+	return map[string]any{"balancers": senders, "slotNo": number, "discovery": discovery, "step": 5.0, "zone": 0,
 		"zones": []any{"a"}, "models": []any{"plain", "shared"},
 		"familyInfo": map[string]any{"callsOut": 12, "fades": "halving", "routesApart": []any{false, false}, "perCall": []any{1, 5}},
 		"limits": map[string]any{"cancel": true, "connIdle": 3000.0, "connectTimeout": 1000.0, "maxAttempts": 6,
 			"mostHeld": 60, "retryAfter": true, "maxRetryAfter": 500.0},
 		"rules": map[string]any{"fallMultiple": r.FallMultiple, "startCapacity": r.StartCapacity,
-			"overloadFor": milliseconds(r.OverloadFor), "cold": milliseconds(r.Cold)},
+			"overloadFor": milliseconds(r.OverloadFor), "cold": milliseconds(r.Cold), "askWithin": milliseconds(onRequestBinds)},
 		"services": []any{class(Safe), class(Keyed), class(Unsafe)},
 		"orgs":     []any{},
 	}
 }
 
 // configFor is the configuration file of one sender.
-func configFor(r Rules, senders, number int, discovery, state string, known List) map[string]any {
+func configFor(r Rules, senders, number int, onRequest bool, discovery, state string, known List) map[string]any {
 	return map[string]any{"name": fmt.Sprintf("n%d", number), "listen": "127.0.0.1:0", "discovery": discovery, "state": state,
 		"seed":   fmt.Sprintf("%x", number+1),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 3},
-		"known":  known, "settings": settingsFor(r, senders, number)}
+		"known":  known, "settings": settingsFor(r, senders, number, onRequest)}
 }
