Hedge no call for the list whose answer has begun to come

Cause: a long list may take over 0.1 s to come, and each hedge would have the agent send it again, while bytes of lists are bounded at size. Change: from the first byte on an answer has 0.25 s to come whole before its call is hedged again.

--- a/internal/sender/discovery_test.go
+++ b/internal/sender/discovery_test.go
@@ -339,6 +339,29 @@
 	}
 }
 
+// A list that takes its time to come, as long ones do, is not asked for again meanwhile.
+func TestAnAnswerThatHasBegunIsNotHedged(t *testing.T) {
+	t.Parallel()
+	var lists atomic.Int32
+	slowly := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" { // a watch
+			silent(w, r)
+			return
+		}
+		lists.Add(1)
+		for _, piece := range []string{`{"version":7,`, `"full":true,`, `"servers":[]}`} {
+			io.WriteString(w, piece)
+			w.(http.Flusher).Flush()
+			time.Sleep(60 * time.Millisecond)
+		}
+	}
+	addr, _ := scripted(t, slowly)
+	st.Receive(t, newsOf(t, newDiscovery(addr, 3), -1))
+	if n := lists.Load(); n != 1 {
+		t.Errorf("the list is asked for %d times", n)
+	}
+}
+
 // quietAgent is an agent with a list that has a newer version after each silence.
 type quietAgent struct {
 	mu      sync.Mutex
--- a/internal/sender/listwatch.go
+++ b/internal/sender/listwatch.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"net/http/httptrace"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 	hedgeAfter = 100 * time.Millisecond
 	hedgeEvery = 150 * time.Millisecond
 	hedgeTime  = 500 * time.Millisecond
+	// An answer that has begun is given so long to come whole before its call is hedged again: long lists take their time.
+	hedgeBegun = 250 * time.Millisecond
 	// An answer that is late by slowAnswer shows a platform that is crowded, as does a refusal; after one no call is hedged for
 	// crowdedFor.
 	slowAnswer = 400 * time.Millisecond
@@ -107,6 +110,13 @@
 	if after >= 0 {
 		due = d.watchWait()
 	}
+	begun := make(chan struct{}, 1)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		select {
+		case begun <- struct{}{}:
+		default:
+		}
+	}})
 	answers := make(chan listAnswer)
 	call := func(limit time.Duration, first bool) {
 		began := time.Now()
@@ -132,6 +142,8 @@
 				go call(due+hedgeTime, false)
 				hedge.Reset(hedgeEvery)
 			}
+		case <-begun:
+			hedge.Reset(hedgeBegun)
 		case a := <-answers:
 			var refused refusedError
 			switch {
