Add a failing test: a request read whole whose context ends before it is handed on

Traced: net/http reads on behind a whole request, and where its connection had to make room that read ends with a time-out, which cancels the request's context. take() handed the message to the loop by that context, and a select chose by chance where both could go on.

--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"strconv"
@@ -861,3 +862,43 @@
 		})
 	}
 }
+
+// A request that has been read whole goes to the loop also where reading on its connection has ended meanwhile, as when that had
+// to make room: net/http ends the request's context then.
+func TestARequestReadWholeIsHandedOnThoughItsContextHasEnded(t *testing.T) {
+	t.Parallel()
+	c, err := ParseConfig(rawConfig(t, st.Config(st.NewPlatform(t), t.TempDir())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newServer(c, newClock(time.Now()), slog.New(slog.DiscardHandler), func(ctx context.Context, sub submission) bool {
+		sub.answer <- answerLine{status: http.StatusAccepted}
+		return ctx.Err() == nil
+	})
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	w := httptest.NewRecorder()
+	r := st.Message(t, "x", "m", "safe", 0, 5*time.Second, "body")
+	r.Header.Set("Content-Length", "4")
+	s.take(w, r.WithContext(ended))
+	if w.Code != http.StatusAccepted {
+		t.Errorf("answered %d", w.Code)
+	}
+	s.close()
+	w = httptest.NewRecorder()
+	r = st.Message(t, "x", "m2", "safe", 0, 5*time.Second, "body")
+	r.Header.Set("Content-Length", "4")
+	s.take(w, r)
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("answered %d after the end", w.Code)
+	}
+}
+
+func rawConfig(t *testing.T, text map[string]any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
