--- a/internal/sender/server.go
+++ b/internal/sender/server.go
@@ -64,7 +64,9 @@
 	guard   *guard // nil for none
 	submit  func(context.Context, submission) bool
 	ready   atomic.Bool
-	closing atomic.Bool // answers say that the connection ends
+	closing atomic.Bool     // answers say that the connection ends
+	life    context.Context // ends with close
+	endLife context.CancelFunc
 	http    *http.Server
 	most    int // connections of clients at once
 
@@ -83,6 +85,7 @@
 
 func newServer(c *Config, k *clock, log *slog.Logger, submit func(context.Context, submission) bool) *server {
 	s := &server{log: log, clock: k, submit: submit, most: clientsMost(c.Limits.Sockets), quiet: map[*clientConn]time.Time{}, half: map[*clientConn]time.Time{}, known: map[*clientConn]bool{}, calm: make(chan struct{}, 1)}
+	s.life, s.endLife = context.WithCancel(context.Background())
 	s.conf.Store(c)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api", s.take)
@@ -180,6 +183,7 @@
 	if d != nil {
 		d.cut.Store(true)
 	}
+	s.endLife()
 	s.http.Close()
 }
 
@@ -347,8 +351,9 @@
 	}
 	s.whole(r)
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
-	// Once handed over the message may be held, so its answer is waited for even if the client goes away.
-	if !s.submit(r.Context(), *sub) {
+	// Once handed over the message may be held, so its answer is waited for even if the client goes away. The request's context
+	// would not do: it also ends where its connection has to make room once it is answered.
+	if !s.submit(s.life, *sub) {
 		writeAnswer(w, answerLine{http.StatusServiceUnavailable, 0, "shutting down"})
 		return
 	}
