Pass nothing on of a call whose late link was given up before it came up

Traced: the sender timed out 30 ms into the call and dropped its connection; the rig's link, which had kept the call back, passed it on 0.7 s later.

--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -1,9 +1,11 @@
 package emulator
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -104,7 +106,11 @@
 	var heldFor time.Duration
 	switch p.fault() {
 	case LinkLate:
-		early, heldFor = holdBack(near, lateFor)
+		var stands bool
+		if early, heldFor, stands = holdBack(near, lateFor); !stands {
+			reset(near)
+			return
+		}
 	case LinkCut:
 		p.waitOutCut()
 		reset(near)
@@ -138,8 +144,9 @@
 	both.Wait()
 }
 
-// holdBack takes what comes on a connection for a time, and gives it with the time since its first byte.
-func holdBack(c net.Conn, lasting time.Duration) (early []byte, heldFor time.Duration) {
+// holdBack takes what comes on a connection for a time, and gives it with the time since its first byte. If the other side
+// ends the connection meanwhile, it has never come up, and nothing has been sent.
+func holdBack(c net.Conn, lasting time.Duration) (early []byte, heldFor time.Duration, stands bool) {
 	until := time.Now().Add(lasting)
 	c.SetReadDeadline(until)
 	defer c.SetReadDeadline(time.Time{})
@@ -151,15 +158,17 @@
 			first = time.Now()
 		}
 		early = append(early, buffer[:n]...)
-		if err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			break
 		}
+		if err != nil {
+			return nil, 0, false
+		}
 	}
-	time.Sleep(time.Until(until)) // where its other side has gone
 	if !first.IsZero() {
 		heldFor = time.Since(first)
 	}
-	return early, heldFor
+	return early, heldFor, true
 }
 
 func (p *Proxy) waitOutCut() {
