Let the connection kept for notices be led to an address in one place only

Cause, by reading: the tick and a dial named the address, each in a goroutine of its own, so one that came late could lead the connection back to the address before a move until the next tick. Change: a move leads it, under its lock; all others only refill it. Names say previous for what is of the address before. Measured: the package's tests on notices and the list pass twice with the race detector.

--- a/internal/sender/discovery.go
+++ b/internal/sender/discovery.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 	"sync"
 	"time"
 )
@@ -96,12 +95,14 @@
 	if d.leave != nil {
 		d.leave()
 	}
-	if d.base != "" {
+	moves := d.base != ""
+	d.base = "http://" + addr
+	d.spare.lead(addr)
+	if moves {
 		d.binds = time.Now().Add(movedBy)
 		d.figures.reason(reasonDiscovery, movedDiscovery)
-		go d.spare.keep(addr)
+		go d.spare.refill()
 	}
-	d.base = "http://" + addr
 	d.here, d.leave = context.WithCancel(context.Background())
 }
 
@@ -139,12 +140,7 @@
 }
 
 // keepSpare sees to it that a connection for notices is ready. It is called now and then.
-func (d *discovery) keepSpare() {
-	d.mu.Lock()
-	base := d.base
-	d.mu.Unlock()
-	go d.spare.keep(strings.TrimPrefix(base, "http://"))
-}
+func (d *discovery) keepSpare() { go d.spare.refill() }
 
 func newDiscovery(addr string, senders int) *discovery {
 	others, first := time.Duration(max(0, senders-fewOfUs)), time.Duration(0)
--- a/internal/sender/notifier.go
+++ b/internal/sender/notifier.go
@@ -79,8 +79,8 @@
 		d.notifier.CloseIdleConnections()
 		return false
 	}
-	left := d.spare.leftAddress()
-	return left != "" && d.post(ctx, "http://"+left, lines, noticeFirst) == nil
+	previous := d.spare.previousAddress()
+	return previous != "" && d.post(ctx, "http://"+previous, lines, noticeFirst) == nil
 }
 
 func (d *discovery) post(ctx context.Context, base string, lines []byte, limit time.Duration) error {
--- a/internal/sender/spareconn.go
+++ b/internal/sender/spareconn.go
@@ -8,18 +8,18 @@
 )
 
 // spareDialer opens connections and keeps one ready that nobody uses yet: what is due within 0.3 s cannot wait until a
-// machine that is short of something lets a socket be opened again. After a move the one to the address before is kept, too,
+// machine that is short of something lets a socket be opened again. After a move the one to the previous address is kept, too,
 // until that closes it. It is safe for concurrent use.
 type spareDialer struct {
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-	mu      sync.Mutex
-	spare   net.Conn // nil for none
-	addr    string   // where it leads, or has to
-	before  net.Conn // to the address before, nil for none
-	left    string   // that address
-	filling bool     // one is being opened
-	closed  bool     // none is wanted any more
+	mu           sync.Mutex
+	spare        net.Conn // nil for none
+	addr         string   // where it leads, or has to
+	previous     net.Conn // to the address before the last move, nil for none
+	previousAddr string
+	filling      bool // a spare connection is being opened
+	closed       bool // none is wanted any more
 }
 
 const (
@@ -28,50 +28,55 @@
 	spareRestMost  = 100 * time.Millisecond
 )
 
-// DialContext gives the spare connection if it still stands, or opens one.
+// DialContext gives a connection that is kept if it still stands, or opens one.
 func (d *spareDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, again := d.take(addr)
-	if again {
-		go d.keep(addr)
-	}
-	if c != nil {
+	if c := d.take(addr); c != nil {
+		go d.refill()
 		return c, nil
 	}
 	return d.dial(ctx, network, addr)
 }
 
-// take takes the connection that is kept to addr, nil if there is none that stands, and reports whether a further one is wanted.
-func (d *spareDialer) take(addr string) (c net.Conn, again bool) {
+// take takes the connection that is kept to addr, nil if there is none that stands.
+func (d *spareDialer) take(addr string) (c net.Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch addr {
 	case d.addr:
-		c, d.spare, again = d.spare, nil, true
-	case d.left:
-		c, d.before = d.before, nil
+		c, d.spare = d.spare, nil
+	case d.previousAddr:
+		c, d.previous = d.previous, nil
 	}
 	if c != nil && !quiet(c) {
 		c.Close()
-		c = nil
+		return nil
 	}
-	return c, again
+	return c
 }
 
-// keep sees to it that there is a spare connection to addr: one that no longer stands, or leads elsewhere, is replaced, as soon
-// as a socket can be had.
-func (d *spareDialer) keep(addr string) {
+// lead makes addr the address to which a connection is kept. It opens none: see refill.
+func (d *spareDialer) lead(addr string) {
 	d.mu.Lock()
-	if d.spare != nil && !quiet(d.spare) {
-		d.spare.Close()
-		d.spare = nil
+	defer d.mu.Unlock()
+	if d.addr == addr {
+		return
 	}
-	if d.spare != nil && d.addr != addr {
-		if d.before != nil {
-			d.before.Close()
+	if d.spare != nil {
+		if d.previous != nil {
+			d.previous.Close()
 		}
-		d.before, d.left, d.spare = d.spare, d.addr, nil
+		d.previous, d.previousAddr, d.spare = d.spare, d.addr, nil
 	}
 	d.addr = addr
+}
+
+// refill sees to it that there is a spare connection that stands, as soon as a socket can be had.
+func (d *spareDialer) refill() {
+	d.mu.Lock()
+	if d.spare != nil && !quiet(d.spare) {
+		d.spare.Close()
+		d.spare = nil
+	}
 	fills := d.spare == nil && !d.filling && !d.closed
 	d.filling = d.filling || fills
 	d.mu.Unlock()
@@ -101,11 +106,11 @@
 	return !d.filling
 }
 
-// leftAddress is the address before the last move to which a connection has stood, "" for none.
-func (d *spareDialer) leftAddress() string {
+// previousAddress is the address before the last move to which a connection has stood, "" for none.
+func (d *spareDialer) previousAddress() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.left
+	return d.previousAddr
 }
 
 // close ends the connections that are kept, for good.
@@ -113,10 +118,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	for _, c := range []net.Conn{d.spare, d.before} {
+	for _, c := range []net.Conn{d.spare, d.previous} {
 		if c != nil {
 			c.Close()
 		}
 	}
-	d.spare, d.before = nil, nil
+	d.spare, d.previous = nil, nil
 }
