End a stale list with the answer to the next call, and take silence for an answer only after 0.3 s

Seen: TestDrainsToldWhileTheAgentCannotBeAskedAreHeeded failed once in eight plays, beside two others and with the race detector: "sender 2 calls e2-0 1.934s after it was told", 0.24 s after sockets worked again. Traced by the plan's times: the list counted as fresh 50 ms after a call had been written, and on the busy machine its answer came later than that. Change: the answer ends staleness, behind its news; without one the agent is taken to be silent after 0.3 s.

--- a/internal/sender/freshness.go
+++ b/internal/sender/freshness.go
@@ -11,8 +11,9 @@
 	// askedFor is how old the last call for the list may be before the list is stale, if no further one can be made. With the
 	// time that it takes to find that out, and a hold-up of 0.15 s, a drain's grace of 0.5 s covers it.
 	askedFor = 200 * time.Millisecond
-	// staleAnswer is how long an agent that is not silent needs at the most to answer the call that ends staleness.
-	staleAnswer = 50 * time.Millisecond
+	// staleAnswer is when the agent is taken to be silent that has not answered the call that ends staleness. An answer ends it
+	// at once; until then there may be one on its way that a busy machine holds up.
+	staleAnswer = 300 * time.Millisecond
 	// staleMost bounds staleness: a machine that lets no call be made for longer than a moment would stop the sender.
 	staleMost = 3 * time.Second
 )
@@ -40,7 +41,7 @@
 	}
 }
 
-// renew ends staleness, unless calls fail again.
+// renew ends staleness, unless calls fail again: the agent has answered, or is silent.
 func (f *freshness) renew() {
 	f.set(func() bool { return f.stale && !f.failing.IsZero() })
 }
--- a/internal/sender/listwatch.go
+++ b/internal/sender/listwatch.go
@@ -193,6 +193,7 @@
 		if first || fresh || len(t.Servers) > 0 {
 			news(t)
 		}
+		d.fresh.renew() // behind the news
 		// Whoever is answered has had its turn: the rests that refusals have led to get shorter, for the next refusal. Here
 		// there is none, whatever work each answer is: what changes between two calls counts as told.
 		if fresh {
