Give each run of the rig a host of its own, and its ledger's start no race

Seen: the race detector, twice in eight plays: a connection came to a link for clients before the run had begun, while the run's start was being set. It can only be from another run beside it, whose stand-in had the same port of 127.0.0.1 before. Change: the stand-ins of a run listen at an address that no other run has, as its senders do; the start is set and read atomically.

--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -80,9 +80,9 @@
 
 func (d *address) close() { d.server.Close() }
 
-// Listen serves at an address of its own, beside those that it has.
-func (a *Agent) Listen() (*address, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// Listen serves at an address of its own on host, beside those that it has.
+func (a *Agent) Listen(host string) (*address, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -47,9 +47,9 @@
 	gone      bool
 }
 
-// NewEndpoint starts an endpoint that asks at each call how to behave.
-func NewEndpoint(l *Ledger, id string, destination int, shares bool, behaviour func() Behaviour) (*Endpoint, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// NewEndpoint starts an endpoint at host that asks at each call how to behave.
+func NewEndpoint(host string, l *Ledger, id string, destination int, shares bool, behaviour func() Behaviour) (*Endpoint, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -116,7 +117,7 @@
 
 // Ledger is everything that the stand-ins saw in a run. It is safe for concurrent use.
 type Ledger struct {
-	start time.Time
+	start atomic.Pointer[time.Time]
 
 	mu          sync.Mutex
 	submissions map[string]*Submission
@@ -132,11 +133,16 @@
 
 // NewLedger begins a run.
 func NewLedger() *Ledger {
-	return &Ledger{start: time.Now(), submissions: map[string]*Submission{}, counters: map[string]int{}}
+	l := &Ledger{submissions: map[string]*Submission{}, counters: map[string]int{}}
+	l.begin(time.Now())
+	return l
 }
 
+// begin sets the time from which all others are counted.
+func (l *Ledger) begin(start time.Time) { l.start.Store(&start) }
+
 // Now is the time since the run's start.
-func (l *Ledger) Now() time.Duration { return time.Since(l.start) }
+func (l *Ledger) Now() time.Duration { return time.Since(*l.start.Load()) }
 
 // Submit books a request that has been written whole.
 func (l *Ledger) Submit(s Submission) {
--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -45,10 +45,10 @@
 	closed   bool
 }
 
-// NewProxy listens on a port of its own. fault is asked at each connection and chunk of bytes; refused, if there is one,
+// NewProxy listens on a port of its own at host. fault is asked at each connection and chunk of bytes; refused, if there is one,
 // is called when the target takes no connection.
-func NewProxy(target func() string, preface string, fault func() LinkFault, refused func()) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewProxy(host string, target func() string, preface string, fault func() LinkFault, refused func()) (*Proxy, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -63,6 +63,7 @@
 type run struct {
 	Options
 	number uint32 // of this program's runs
+	host   string // where its stand-ins listen
 	rules  Rules
 	ledger *Ledger
 	plan   []Trouble
@@ -86,6 +87,7 @@
 func Run(o Options) (*Report, error) {
 	r := &run{Options: o, number: runs.Add(1), rules: DefaultRules(), ledger: NewLedger(), links: map[string][]*Proxy{}, busy: make([]sync.Mutex, o.Senders), starting: make([]sync.Mutex, o.Senders)}
 	defer r.close()
+	r.host = standInHost(r.number)
 	if r.plan = o.Plan; r.plan == nil {
 		r.plan = drawPlan(o)
 	}
@@ -136,7 +138,7 @@
 	}
 	for i := range r.Senders {
 		agent := NewAgent(r.ledger, i, r.OnRequest, lists[i])
-		at, err := agent.Listen()
+		at, err := agent.Listen(r.host)
 		if err != nil {
 			return err
 		}
@@ -148,7 +150,7 @@
 			return err
 		}
 		r.processes = append(r.processes, process)
-		proxy, err := NewProxy(func() string { return process.Addr }, "", func() LinkFault { return r.clientFault(i) }, func() { r.ledger.Refuse(i) })
+		proxy, err := NewProxy(r.host, func() string { return process.Addr }, "", func() LinkFault { return r.clientFault(i) }, func() { r.ledger.Refuse(i) })
 		if err != nil {
 			return err
 		}
@@ -161,7 +163,7 @@
 
 // addEndpoint starts an endpoint and gives its line of each sender's list.
 func (r *run) addEndpoint(id string, destination int) ([]Server, error) {
-	e, err := NewEndpoint(r.ledger, id, destination, r.kindOf(destination) == "shared", func() Behaviour { return r.behaviour(destination) })
+	e, err := NewEndpoint(r.host, r.ledger, id, destination, r.kindOf(destination) == "shared", func() Behaviour { return r.behaviour(destination) })
 	if err != nil {
 		return nil, err
 	}
@@ -171,7 +173,7 @@
 	r.closers = append(r.closers, e.Close)
 	var servers []Server
 	for i := range r.Senders {
-		link, err := NewProxy(e.Addr, prefaceOf(i), func() LinkFault { return r.linkFault(i) }, nil)
+		link, err := NewProxy(r.host, e.Addr, prefaceOf(i), func() LinkFault { return r.linkFault(i) }, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -188,7 +190,12 @@
 // host is an address for one sender that no other has, of this run or of another one beside it. A sender comes back
 // under its address, so that may not be a port that others are given meanwhile.
 func host(run uint32, sender int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%254, 1+run%254, 1+sender%254)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%254, 1+run%254, 1+sender%253)
+}
+
+// standInHost is where the stand-ins of a run listen: no other run can reach them by a port that was its own before.
+func standInHost(run uint32) string {
+	return fmt.Sprintf("127.%d.%d.254", 1+os.Getpid()%254, 1+run%254)
 }
 
 const (
@@ -219,7 +226,7 @@
 
 // startSenders starts all and gives each its shims: the plan's times count from here on.
 func (r *run) startSenders() error {
-	r.ledger.start = time.Now().Add(time.Second) // the load begins when all are ready
+	r.ledger.begin(time.Now().Add(time.Second)) // the load begins when all are ready
 	zero := monotonicNow() + int64(time.Second)
 	for _, t := range r.plan {
 		kind, ok := shimOf[t.Kind]
@@ -433,7 +440,7 @@
 	if !moves {
 		return r.processes[sender].Reload(r.addresses[sender].addr)
 	}
-	at, err := r.agents[sender].Listen()
+	at, err := r.agents[sender].Listen(r.host)
 	if err != nil {
 		return err
 	}
