Book a refused connection at the time at which it was tried

Traced: both requests were written at 18.195 and 18.199 s, before the processes listened (ready at 18.2 s by their logs); the rig booked the refusals and the closes 33 ms later, on a busy machine, when they were ready. A fault of the rig. Change: a refusal has the time of its dial, and a close counts if the sender ran when the request was written, too.

--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -178,7 +178,7 @@
 func checkUnanswered(l *Ledger, f Facts) []Violation {
 	var found []Violation
 	for id, s := range l.submissions {
-		if s.Closed && l.running(s.Sender, s.ClosedAt) && !f.crowded(s, s.SentAt) && !f.crowded(s, s.ClosedAt) {
+		if s.Closed && l.running(s.Sender, s.SentAt) && l.running(s.Sender, s.ClosedAt) && !f.crowded(s, s.SentAt) && !f.crowded(s, s.ClosedAt) {
 			found = append(found, Violation{"unanswered", s.ClosedAt, fmt.Sprintf("%s: sender %d closed a fresh connection: %s, written at %.3fs", id, s.Sender, s.CloseError, s.SentAt.Seconds())})
 		}
 	}
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -244,11 +244,11 @@
 	}
 }
 
-// Refuse books a connection that a sender did not take.
-func (l *Ledger) Refuse(sender int) {
+// Refuse books a connection that a sender did not take, at the time at which it was tried.
+func (l *Ledger) Refuse(sender int, dialled time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refusals = append(l.refusals, Refusal{sender, l.Now()})
+	l.refusals = append(l.refusals, Refusal{sender, dialled.Sub(*l.start.Load())})
 }
 
 // Count adds to the sum of a figure that a sender reports.
--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -37,7 +37,7 @@
 	preface string // written first to the far side, with how long the first call has been held back (µs); "" for nothing
 	target  func() string
 	fault   func() LinkFault
-	refused func() // the target takes no connection; nil if nobody asks
+	refused func(dialled time.Time) // the target took no connection that was dialled then; nil if nobody asks
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -47,7 +47,7 @@
 
 // NewProxy listens on a port of its own at host. fault is asked at each connection and chunk of bytes; refused, if there is one,
 // is called when the target takes no connection.
-func NewProxy(host string, target func() string, preface string, fault func() LinkFault, refused func()) (*Proxy, error) {
+func NewProxy(host string, target func() string, preface string, fault func() LinkFault, refused func(dialled time.Time)) (*Proxy, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
@@ -116,10 +116,11 @@
 		reset(near)
 		return
 	}
+	dialled := time.Now()
 	far, err := net.DialTimeout("tcp", p.target(), time.Second)
 	if err != nil {
 		if p.refused != nil {
-			p.refused()
+			p.refused(dialled)
 		}
 		reset(near)
 		return
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -150,7 +150,7 @@
 			return err
 		}
 		r.processes = append(r.processes, process)
-		proxy, err := NewProxy(r.host, func() string { return process.Addr }, "", func() LinkFault { return r.clientFault(i) }, func() { r.ledger.Refuse(i) })
+		proxy, err := NewProxy(r.host, func() string { return process.Addr }, "", func() LinkFault { return r.clientFault(i) }, func(dialled time.Time) { r.ledger.Refuse(i, dialled) })
 		if err != nil {
 			return err
 		}
