--- a/internal/emulator/silence_test.go
+++ b/internal/emulator/silence_test.go
@@ -79,3 +79,23 @@
 	}
 	testRun(t, Options{Seed: 29, Load: 12 * time.Second, Plan: plan})
 }
+
+// A process that takes over while its machine lets it open no socket for a moment ends its messages in time all the same.
+func TestNoticesAreToldAfterAnUpgradeWhileNoSocketCanBeHad(t *testing.T) {
+	t.Parallel()
+	var plan []Trouble
+	for from := 2 * time.Second; from < 12*time.Second; from += 3 * time.Second {
+		plan = append(plan, Trouble{Kind: SendersUpgraded, From: from, Until: from + time.Millisecond, Senders: everySender()},
+			Trouble{Kind: ConnectFails, From: from - 200*time.Millisecond, Until: from + 1200*time.Millisecond, Senders: everySender()})
+	}
+	testRun(t, Options{Seed: 30, Load: 12 * time.Second, Plan: plan})
+}
+
+// Whoever connects amid a crowd is let go of in time also while the sender may open no further descriptor for a moment.
+func TestPeersAreLetGoOfInTimeWhileDescriptorsAreShort(t *testing.T) {
+	t.Parallel()
+	struck := []int{0, 1, 2}
+	testRun(t, Options{Seed: 31, Load: 8 * time.Second, Plan: []Trouble{
+		{Kind: DescriptorsShort, From: 2 * time.Second, Until: 3500 * time.Millisecond, Senders: struck},
+		{Kind: ClientsCrowd, From: 2200 * time.Millisecond, Until: 6 * time.Second, Senders: struck}}})
+}
