Handle the event behind a step's 256th, which was received and dropped

Callers saw: of many clients that wrote requests at one moment, one had no response; an end of a call in that place left a call in flight for good. Cause: handleQueued received the next event before it looked at maxEventBatch, and returned without handling it. Change: the bound is checked first, so what is not handled stays in the queue for the next step. This holds as an event leaves the queue now only to be handled in the same turn of the loop.

--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -31,21 +31,24 @@
 	}
 }
 
-// handleQueued handles an event and those that wait behind it, up to a successor's request for the snapshot.
+// handleQueued handles an event and those that wait behind it, up to a successor's request for the snapshot. The bound
+// is checked before the next event is received, as one that has left the queue is handled here or by nobody.
 func (s *Sender) handleQueued(ctx context.Context, first event) (events []dispatch.Event, successor *handover.Link) {
 	e := first
-	for n := 0; e != nil && n < maxEventBatch; n++ {
+	for handled := 1; ; handled++ {
 		if request, ok := e.(successorEvent); ok {
 			return events, request.link
 		}
 		events = append(events, s.handleEvent(ctx, e)...)
+		if handled == maxEventBatch {
+			return events, nil
+		}
 		select {
 		case e = <-s.events:
 		default:
-			e = nil
+			return events, nil
 		}
 	}
-	return events, nil
 }
 
 // handleEvent updates the sender's own state by an event and translates it for the dispatcher, to nothing if that
