Close an inherited listener without waiting for the next client

Callers saw: an upgrade stood still until the next client connected, and the new process stayed unhealthy. Cause: processes share the passed socket's open file description, and whoever starts one makes it blocking for a while. An accept that begins then blocks in the kernel, and the close of the listener, on the event loop, waits for it. Change: a SharedListener calls accept only when a connection is there, for which it waits in Go's poller whatever the mode is. This holds as one process at a time accepts, so no accept finds the queue empty. A receive timeout on the socket did not hold: Go's listeners are multipath TCP sockets, which do not heed it.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 
+	"onyxdyke.example/onyxdyke/internal/netconn"
 	"onyxdyke.example/onyxdyke/internal/retry"
 )
 
@@ -88,10 +89,10 @@
 		return func() (net.Listener, error) { return net.Listen("tcp", c.Listen) }, nil
 	}
 	f := os.NewFile(uintptr(c.Passed), "clients")
-	probe, err := net.FileListener(f)
+	probe, err := netconn.NewSharedListener(f)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %s: %w", envPassedSocket, err)
 	}
 	_ = probe.Close() // it only shows that the descriptor is a listener; the socket itself stays open
-	return func() (net.Listener, error) { return net.FileListener(f) }, nil
+	return func() (net.Listener, error) { return netconn.NewSharedListener(f) }, nil
 }
