Keep the passed socket open where no listener can be made of it at first

Callers would see: a process that cannot have a descriptor for its listener at its start tries again on a descriptor that is closed, and never serves. Cause: each attempt made an os.File of the passed descriptor, and the file of a failed one was garbage, whose collection closes the descriptor. Change: the file is made once and kept with the configuration. Result: the test found the descriptor closed in each play before; it passes.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 package config
 
 import (
+	"os"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	Known     endpointlist.Update // the endpoint list as of when the file was written
 	Settings  dispatch.Settings
 
+	passedSocket *os.File // of Passed; nil until a listener is made of it
+
 	// Names, in the order of the settings, and as clients and discovery use them.
 	Classes, Tenants, Kinds, Zones []string
 
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -88,7 +88,7 @@
 	if c.Passed == 0 {
 		return func() (net.Listener, error) { return net.Listen("tcp", c.Listen) }, nil
 	}
-	f := os.NewFile(uintptr(c.Passed), "clients")
+	f := c.passedFile()
 	probe, err := netconn.NewSharedListener(f)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %s: %w", envPassedSocket, err)
@@ -96,3 +96,12 @@
 	_ = probe.Close() // it only shows that the descriptor is a listener; the socket itself stays open
 	return func() (net.Listener, error) { return netconn.NewSharedListener(f) }, nil
 }
+
+// passedFile is the file of the inherited socket. It is made once: one that nobody refers to any more, as after an
+// attempt that failed, closes the descriptor when it is garbage collected, and the next attempt finds no socket.
+func (c *Config) passedFile() *os.File {
+	if c.passedSocket == nil {
+		c.passedSocket = os.NewFile(uintptr(c.Passed), "clients")
+	}
+	return c.passedSocket
+}
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +14,9 @@
 // acceptEntryTime is time for a goroutine to enter the system call of its accept, which nothing tells.
 const acceptEntryTime = 50 * time.Millisecond
 
+// collectionTime is time for the runtime to close what it has found to be garbage, which nothing tells.
+const collectionTime = 5 * time.Millisecond
+
 // inheritSocket is a listening socket that the platform holds, and the descriptor of it that a process inherits.
 func inheritSocket(t *testing.T) (platform *os.File, passed int) {
 	t.Helper()
@@ -81,3 +85,32 @@
 		t.Error("accept goes on after the close")
 	}
 }
+
+// The inherited socket stays open where no listener can be made of it at first, as when the process has no descriptor
+// left for a moment: the attempt is repeated. The file of a failed attempt used to be garbage collected, which closed
+// the socket.
+func TestInheritedSocketOutlivesAFailedAttempt(t *testing.T) {
+	t.Parallel()
+	reader, writer, err := os.Pipe() // no listener can be made of it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	defer writer.Close()
+	passed, err := syscall.Dup(int(writer.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Config{Passed: passed}
+	for range 20 {
+		if _, err := c.Listener(); err == nil {
+			t.Fatal("a pipe is taken for a listener")
+		}
+		runtime.GC()
+		time.Sleep(collectionTime)
+	}
+	if _, err := syscall.Dup(passed); err != nil {
+		t.Errorf("the descriptor is closed: %v", err)
+	}
+	runtime.KeepAlive(c)
+}
