Let the process go on that the soak has paused, also after an upgrade

Cause: Process.Pause sent SIGCONT to the process that was current by then, and where an upgrade came in between, the old one stayed stopped for good. The product is not at fault. Change: both signals go to the same process.

--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -307,11 +307,16 @@
 	return fmt.Errorf("sender %d had to be killed after SIGTERM", p.Number)
 }
 
-// Pause stops the process for a time, as a busy machine does.
+// Pause stops the process for a time, as a busy machine does. It is the stopped process that goes on, also where an
+// upgrade has made another one the current meanwhile.
 func (p *Process) Pause(lasting time.Duration) {
-	p.signal(syscall.SIGSTOP)
+	paused := p.current()
+	if paused.running == nil {
+		return
+	}
+	paused.signal(syscall.SIGSTOP)
 	time.Sleep(lasting)
-	p.signal(syscall.SIGCONT)
+	paused.signal(syscall.SIGCONT)
 }
 
 // mayReload reports whether the platform may send SIGHUP: not in a process's first second, nor before it is ready.
--- /dev/null
+++ b/internal/emulator/process_test.go
@@ -0,0 +1,70 @@
+package emulator
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// idleInstance is a process that does nothing until the end of the test.
+func idleInstance(t *testing.T) instance {
+	t.Helper()
+	running := exec.Command("sleep", "60")
+	if err := running.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = running.Process.Kill()
+		_ = running.Wait()
+	})
+	return instance{running: running, exited: make(chan struct{}), exitExpected: new(atomic.Bool)}
+}
+
+// isStopped reports whether a process is stopped by a signal (proc(5)).
+func (i *instance) isStopped(t *testing.T) bool {
+	t.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", i.running.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, state, _ := strings.Cut(string(stat), ") ")
+	return strings.HasPrefix(state, "T")
+}
+
+// awaitStopped waits until a process is stopped, or goes on.
+func (i *instance) awaitStopped(t *testing.T, want bool) {
+	t.Helper()
+	for until := time.Now().Add(5 * time.Second); i.isStopped(t) != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("process %d: stopped %v, want %v", i.running.Process.Pid, !want, want)
+		}
+	}
+}
+
+// A process that is paused while it hands over to the next one goes on afterwards. The end of the pause used to go to
+// the process that was current by then, so the old one stayed stopped for good: it obeyed no SIGTERM, kept its peers,
+// and the run said that it had to be killed after an upgrade. Shown by its state in /proc, T, at the time of the
+// SIGKILL (soak seed 53008).
+func TestAPausedProcessGoesOnAfterAnUpgrade(t *testing.T) {
+	t.Parallel()
+	old, next := idleInstance(t), idleInstance(t)
+	p := &Process{instance: old}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Pause(100 * time.Millisecond)
+	}()
+	old.awaitStopped(t, true)
+	p.mu.Lock()
+	p.instance = next
+	p.mu.Unlock()
+	<-done
+	old.awaitStopped(t, false)
+	if next.isStopped(t) {
+		t.Error("the next process is stopped")
+	}
+}
