Count a peer's time from its connection, the listener's queue included

Callers saw: a peer that sends no complete request was let go of 3.3 to 3.6 s after it had connected, 3 s are allowed. Cause: it had 2 s for a head and 2.5 s for a request from its accept on, however long it had waited in the queue. Change: the first request has until 2.5 s after the connection was established (TCP_INFO), and 0.1 s at least. This holds whatever the time in the queue was spent on. The log says when accept works again and who waited long.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -18,6 +18,12 @@
 	maxLingerBytes = 256 << 10
 	// finishTimeout is how long a request may still take to arrive that has begun as its connection is let go of.
 	finishTimeout = 800 * time.Millisecond
+
+	// releaseTimeout is when a peer is let go of whose first request is not complete, from when its connection was
+	// established. It is owed that within 3 s, and the rest is for the closing.
+	releaseTimeout = readTimeout
+	// minFirstReadTime is for reading what has arrived on a connection that was accepted later than that.
+	minFirstReadTime = 100 * time.Millisecond
 )
 
 // Why a client's connection is closed. The words are counted in the operators' figures.
@@ -35,6 +41,8 @@
 // and by whoever lets go of it.
 type clientConn struct {
 	net.Conn
+	openedAt       time.Time    // when it was established
+	releaseBy      time.Time    // by then its first request has to be complete; the zero time for no such limit
 	release        func()       // frees its place
 	cutsOff        *atomic.Bool // the listener's: nobody is waited for any more
 	onClose        func(*clientConn)
@@ -62,7 +70,7 @@
 // has been read is read to its end, and answered, before the connection is closed.
 func (c *clientConn) dismiss(reason string) {
 	c.reason.CompareAndSwap(nil, &reason)
-	finishBy := time.Now().Add(finishTimeout)
+	finishBy := c.limitFirstRead(time.Now().Add(finishTimeout))
 	c.finishBy.CompareAndSwap(nil, &finishBy)
 	c.isDismissed.Store(true)
 	_ = c.SetReadDeadline(expired) // a connection that takes no deadline is closed already
@@ -74,6 +82,20 @@
 	c.dismiss(reason)
 }
 
+// SetReadDeadline keeps a deadline that is set for the first request within the peer's time.
+func (c *clientConn) SetReadDeadline(deadline time.Time) error {
+	return c.Conn.SetReadDeadline(c.limitFirstRead(deadline))
+}
+
+// limitFirstRead is the deadline, or the end of the peer's time if that is earlier and nothing has been answered yet.
+// The zero time, for none, is set where a request is complete.
+func (c *clientConn) limitFirstRead(deadline time.Time) time.Time {
+	if c.hasAnswered.Load() || c.releaseBy.IsZero() || deadline.IsZero() || deadline.Before(c.releaseBy) {
+		return deadline
+	}
+	return c.releaseBy
+}
+
 // Read obeys a dismissal also where net/http has set a new deadline since.
 func (c *clientConn) Read(b []byte) (int, error) {
 	for {
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -140,10 +140,9 @@
 	}
 }
 
-// A request that has been read completely is submitted also where reading on its connection has ended meanwhile, as
-// in an eviction: net/http ends the request's context then.
-func TestCompleteRequestIsSubmittedAfterItsContextEnds(t *testing.T) {
-	t.Parallel()
+// newTestServer is a server that accepts every message until it is closed.
+func newTestServer(t *testing.T) *Server {
+	t.Helper()
 	raw, err := json.Marshal(st.Config(st.NewAgent(t), t.TempDir()))
 	if err != nil {
 		t.Fatal(err)
@@ -156,8 +155,19 @@
 		sub.Responses <- Response{Status: http.StatusAccepted}
 		return ctx.Err() == nil
 	}
-	log := slog.New(slog.DiscardHandler)
-	s := New(Options{Config: c, Clock: clock.New(time.Now()), Log: log, Submit: submit})
+	return New(Options{
+		Config: c,
+		Clock:  clock.New(time.Now()),
+		Log:    slog.New(slog.DiscardHandler),
+		Submit: submit,
+	})
+}
+
+// A request that has been read completely is submitted also where reading on its connection has ended meanwhile, as
+// in an eviction: net/http ends the request's context then.
+func TestCompleteRequestIsSubmittedAfterItsContextEnds(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t)
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	w := httptest.NewRecorder()
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -24,6 +24,9 @@
 // What waits there when a listener is closed is reset, with a response or without, so before its end it accepts all
 // that have arrived.
 //
+// A peer is owed an error or a close within 3 s of its connection, and the time in the queue counts. What is left of it
+// is what the peer has to send its request (clientConn.releaseBy).
+//
 // netutil.LimitListener does the counting as well, but its connections hide what tells whether bytes wait unread.
 type limitListener struct {
 	net.Listener
@@ -34,10 +37,19 @@
 	emptyQueue func()      // accepts what waits in the queue, and closes the listener
 	cutsOff    atomic.Bool // connections are closed at once
 
+	failingSince time.Time // accept fails; the zero time if it works. It belongs to the goroutine that accepts
+
 	// The callbacks may be nil.
-	onClose        func(*clientConn) // a connection is about to be closed
-	onRequestBegun func(*clientConn) // the first bytes of a request have been read
-	onAcceptError  func(error)       // accept has failed and is tried again
+	onClose        func(*clientConn)  // a connection is about to be closed
+	onRequestBegun func(*clientConn)  // the first bytes of a request have been read
+	onAcceptError  func(error)        // accept has failed and is tried again
+	onAccepted     func(acceptReport) // a connection has been accepted
+}
+
+// acceptReport is what was in the way of a connection that has been accepted.
+type acceptReport struct {
+	queued    time.Duration // in the listener's queue
+	failedFor time.Duration // accept failed for so long just before; zero if it did not
 }
 
 func newLimitListener(l net.Listener, limit int) *limitListener {
@@ -72,13 +84,7 @@
 	}
 	conn, err := l.acceptRetrying()
 	if err == nil {
-		return &clientConn{
-			Conn:           conn,
-			cutsOff:        &l.cutsOff,
-			onClose:        l.onClose,
-			onRequestBegun: l.onRequestBegun,
-			release:        sync.OnceFunc(func() { <-l.places }),
-		}, nil
+		return l.newConnection(conn), nil
 	}
 	<-l.places
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -89,6 +95,37 @@
 	return nil, err
 }
 
+// newConnection is the client's connection on one that has been accepted.
+func (l *limitListener) newConnection(conn net.Conn) *clientConn {
+	now, queued := time.Now(), netconn.Age(conn)
+	if l.onAccepted != nil {
+		report := acceptReport{queued: queued}
+		if !l.failingSince.IsZero() {
+			report.failedFor = now.Sub(l.failingSince)
+		}
+		l.onAccepted(report)
+	}
+	l.failingSince = time.Time{}
+	openedAt := now.Add(-queued)
+	return &clientConn{
+		Conn:           conn,
+		openedAt:       openedAt,
+		releaseBy:      latest(openedAt.Add(releaseTimeout), now.Add(minFirstReadTime)),
+		cutsOff:        &l.cutsOff,
+		onClose:        l.onClose,
+		onRequestBegun: l.onRequestBegun,
+		release:        sync.OnceFunc(func() { <-l.places }),
+	}
+}
+
+// latest is the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // acceptRetrying waits for the next connection, whatever fails meanwhile.
 func (l *limitListener) acceptRetrying() (net.Conn, error) {
 	pause := minAcceptPause
@@ -97,9 +134,7 @@
 		if err == nil || netconn.IsListenerBroken(err) {
 			return conn, err
 		}
-		if l.onAcceptError != nil {
-			l.onAcceptError(err)
-		}
+		l.noteFailure(err)
 		if netconn.IsConnectionLost(err) && lost < maxLostInRow {
 			lost++
 			continue
@@ -112,3 +147,13 @@
 		pause = min(2*pause, maxAcceptPause)
 	}
 }
+
+// noteFailure notes that accept has failed.
+func (l *limitListener) noteFailure(err error) {
+	if l.failingSince.IsZero() {
+		l.failingSince = time.Now()
+	}
+	if l.onAcceptError != nil {
+		l.onAcceptError(err)
+	}
+}
--- a/internal/ingress/listener_test.go
+++ b/internal/ingress/listener_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -112,3 +113,56 @@
 		})
 	}
 }
+
+// serveOn serves on a listener until the end of the test.
+func serveOn(t *testing.T, l net.Listener) {
+	t.Helper()
+	s := newTestServer(t)
+	done := make(chan error, 1)
+	limited := s.Limit(l)
+	go func() { done <- s.Serve(limited) }()
+	t.Cleanup(func() {
+		s.StopAccepting()
+		s.Close()
+		if err := st.Receive(t, done); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// A peer's time counts from when it connected: one that was accepted late is let go of as early as others.
+func TestAPeersTimeCountsFromItsConnection(t *testing.T) {
+	t.Parallel()
+	const queued, releaseWithin = 1200 * time.Millisecond, 3 * time.Second
+	for name, text := range map[string]string{
+		"silent":    "",
+		"half head": "POST /api HTTP/1.1\r\nX-Request-",
+		"half body": "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nX-Class: safe\r\nX-Deadline-Ms: 500\r\n" +
+			"X-Addressing: dest=0\r\nContent-Length: 50\r\n\r\nten bytes.",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			began := time.Now()
+			_, _ = io.WriteString(conn, text)
+			time.Sleep(queued)
+			serveOn(t, l)
+			_ = conn.SetReadDeadline(time.Now().Add(st.Timeout))
+			_, err = conn.Read(make([]byte, 1))
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatal("it is not let go of")
+			}
+			if after := time.Since(began); after > releaseWithin {
+				t.Errorf("it is let go of after %v", after)
+			}
+		})
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -28,6 +28,8 @@
 
 	// acceptFailureWindow is how far back a failed accept counts: while accept fails it is tried more often than this.
 	acceptFailureWindow = 5 * maxAcceptPause
+	// longQueueTime in the listener's queue is logged: it is a good part of what a peer has to send its request.
+	longQueueTime = 500 * time.Millisecond
 )
 
 const (
@@ -142,6 +144,7 @@
 func (s *Server) Limit(l net.Listener) net.Listener {
 	limited := newLimitListener(l, s.connections.limit)
 	limited.onAcceptError = s.noteAcceptError
+	limited.onAccepted = s.noteAccepted
 	limited.onRequestBegun = s.connections.requestBegun
 	limited.onClose = func(c *clientConn) { s.invariants.CheckClose(c.closeReason(), c.isUnanswered.Load()) }
 	s.mu.Lock()
@@ -176,6 +179,16 @@
 	s.metrics.CountReason(metrics.ReasonAccept, "failed")
 }
 
+// noteAccepted logs what kept a client from being accepted, where that was long.
+func (s *Server) noteAccepted(report acceptReport) {
+	if report.failedFor >= acceptFailureWindow {
+		s.log.Info("clients are accepted again", "failed_for", report.failedFor, "queued", report.queued)
+	}
+	if report.queued >= longQueueTime {
+		s.log.Debug("a client was accepted late", "queued", report.queued, "failed_for", report.failedFor)
+	}
+}
+
 // StopAccepting closes the listener. Whoever waits in the queue of one that is not the platform's is reset.
 func (s *Server) StopAccepting() {
 	if listener := s.currentListener(); listener != nil {
--- /dev/null
+++ b/internal/netconn/age.go
@@ -0,0 +1,30 @@
+package netconn
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Age returns how long ago a connection was established, if nothing has been sent on it yet: for one that has just been
+// accepted that is its time in the listener's queue. It is zero where the system does not tell.
+func Age(c net.Conn) time.Duration {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var age time.Duration
+	_ = raw.Control(func(fd uintptr) { // a connection that is closed already has no age
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil { // the kernel sets the time of the last sending when a connection is established
+			age = time.Duration(info.Last_data_sent) * time.Millisecond
+		}
+	})
+	return age
+}
