Make room for the next client where accept finds no descriptor

Callers saw: while a process could open no further descriptor for 1.5 s amid a connection flood, nobody was accepted, and peers were kept for 3.30 to 3.38 s, 3 s are allowed. Cause: accept waited, up to 0.1 s a try, for a descriptor that peers at rest held, and nobody made them go. Change: accept gives up a descriptor that it keeps in reserve, and then lets go of the connection that has rested for longest, as where all places are taken; it tries again once that one is closed. This holds as each peer that is accepted can make room for the next one.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -52,8 +52,8 @@
 	// AdminConnectionLimit bounds the operators' connections. Where descriptors are few, there are fewer.
 	AdminConnectionLimit = 64
 	// ReservedDescriptors are kept for the standard streams, the poller, listeners, the lock, the journal, discovery
-	// and its hedged calls, and a successor.
-	ReservedDescriptors = 24
+	// with its hedged calls and reserved connections, accept's own reserve, and a successor.
+	ReservedDescriptors = 28
 
 	adminDivisor           = 12 // operators get this part of the descriptors at most
 	idleDivisor            = 4  // and idle connections to endpoints this one
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -176,7 +176,7 @@
 
 // evict makes room for a connection if the last place is taken. The caller holds the lock.
 func (t *connectionTable) evict() {
-	if t.open < t.limit || t.evictIdle() || t.evictPartial() || t.isEvictionScheduled {
+	if t.open < t.limit || t.evictIdle(0) || t.evictPartial() || t.isEvictionScheduled {
 		return
 	}
 	// All requests that are left have just begun. Nobody else is accepted until there is room, so nothing else would
@@ -191,13 +191,23 @@
 	})
 }
 
-// evictIdle lets go of the connection that has been idle for longest. Where something has arrived, that is a request,
-// read or not. The caller holds the lock.
-func (t *connectionTable) evictIdle() bool {
+// makeRoom lets go of a connection so that its descriptor can be had for another one, if there is one that rests. A
+// client has had EvictionGrace by then to begin its request, in the listener's queue or since.
+func (t *connectionTable) makeRoom() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.evictIdle(EvictionGrace) || t.evictPartial()
+}
+
+// evictIdle lets go of the connection that has been idle for longest, of those that are open for a time. Where
+// something has arrived, that is a request, read or not. The caller holds the lock.
+func (t *connectionTable) evictIdle(minAge time.Duration) bool {
+	openedBefore := time.Now().Add(-minAge)
 	for checked := map[*clientConn]bool{}; ; {
 		var oldest *clientConn
 		for c, since := range t.idle {
-			if !checked[c] && (oldest == nil || since.Before(t.idle[oldest])) {
+			isCandidate := !checked[c] && !c.openedAt.After(openedBefore)
+			if isCandidate && (oldest == nil || since.Before(t.idle[oldest])) {
 				oldest = c
 			}
 		}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -18,14 +18,17 @@
 	maxAcceptPause = 100 * time.Millisecond
 	// maxLostInRow is how many connections in a row may turn out to be lost before accept pauses.
 	maxLostInRow = 16
+	// roomTimeout bounds the wait for a connection to close that makes room for the next one.
+	roomTimeout = 20 * time.Millisecond
 )
 
 // limitListener is the clients' listener. It accepts so many connections at once; further ones wait in its queue.
 // What waits there when a listener is closed is reset, with a response or without, so before its end it accepts all
 // that have arrived.
 //
-// A peer is owed an error or a close within 3 s of its connection, and the time in the queue counts. What is left of it
-// is what the peer has to send its request (clientConn.releaseBy).
+// A peer is owed an error or a close within 3 s of its connection, and the time in the queue counts. So accept does not
+// wait for a descriptor that others may keep for long: it gives up a reserved one, or lets go of a connection that
+// rests. What is left of the peer's time is what it has to send its request (clientConn.releaseBy).
 //
 // netutil.LimitListener does the counting as well, but its connections hide what tells whether bytes wait unread.
 type limitListener struct {
@@ -34,16 +37,20 @@
 	closed     chan struct{}
 	emptied    chan struct{} // closed when the queue has been emptied, and with it the listener
 	close      func() error
-	emptyQueue func()      // accepts what waits in the queue, and closes the listener
-	cutsOff    atomic.Bool // connections are closed at once
+	emptyQueue func()        // accepts what waits in the queue, and closes the listener
+	cutsOff    atomic.Bool   // connections are closed at once
+	freed      chan struct{} // receives when a connection has been closed
 
-	failingSince time.Time // accept fails; the zero time if it works. It belongs to the goroutine that accepts
+	// The fields of the goroutine that accepts.
+	reserve      descriptorReserve
+	failingSince time.Time // accept fails; the zero time if it works
 
 	// The callbacks may be nil.
 	onClose        func(*clientConn)  // a connection is about to be closed
 	onRequestBegun func(*clientConn)  // the first bytes of a request have been read
 	onAcceptError  func(error)        // accept has failed and is tried again
 	onAccepted     func(acceptReport) // a connection has been accepted
+	makeRoom       func() bool        // lets go of a connection that rests, if there is one
 }
 
 // acceptReport is what was in the way of a connection that has been accepted.
@@ -58,6 +65,8 @@
 		places:   make(chan struct{}, limit),
 		closed:   make(chan struct{}),
 		emptied:  make(chan struct{}),
+		freed:    make(chan struct{}, 1),
+		makeRoom: func() bool { return false },
 	}
 	limited.close = sync.OnceValue(func() error {
 		close(limited.closed)
@@ -82,11 +91,13 @@
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
+	l.reserve.hold()
 	conn, err := l.acceptRetrying()
 	if err == nil {
 		return l.newConnection(conn), nil
 	}
 	<-l.places
+	l.reserve.giveUp()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		_ = l.close() // the queue is empty, which is what counts
 		close(l.emptied)
@@ -114,7 +125,7 @@
 		cutsOff:        &l.cutsOff,
 		onClose:        l.onClose,
 		onRequestBegun: l.onRequestBegun,
-		release:        sync.OnceFunc(func() { <-l.places }),
+		release:        sync.OnceFunc(l.releasePlace),
 	}
 }
 
@@ -126,6 +137,15 @@
 	return b
 }
 
+// releasePlace frees the place of a connection that has been closed.
+func (l *limitListener) releasePlace() {
+	<-l.places
+	select {
+	case l.freed <- struct{}{}:
+	default: // one signal waits already
+	}
+}
+
 // acceptRetrying waits for the next connection, whatever fails meanwhile.
 func (l *limitListener) acceptRetrying() (net.Conn, error) {
 	pause := minAcceptPause
@@ -139,9 +159,15 @@
 			lost++
 			continue
 		}
-		select {
-		case <-time.After(pause):
-		case <-l.closed:
+		if netconn.IsOutOfDescriptors(err) {
+			if l.reserve.giveUp() {
+				continue
+			}
+			if l.makeRoom() {
+				pause = roomTimeout
+			}
+		}
+		if !l.awaitRetry(pause) {
 			return nil, net.ErrClosed
 		}
 		pause = min(2*pause, maxAcceptPause)
@@ -157,3 +183,17 @@
 		l.onAcceptError(err)
 	}
 }
+
+// awaitRetry waits until accept is worth another try: a connection has been closed, or the pause is over. It reports
+// false if the listener has been closed.
+func (l *limitListener) awaitRetry(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.freed:
+	case <-l.closed:
+		return false
+	}
+	return true
+}
--- a/internal/ingress/listener_test.go
+++ b/internal/ingress/listener_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -114,6 +115,36 @@
 	}
 }
 
+// outOfDescriptors is a listener of a process that has so many descriptors for connections, those that are open and its
+// reserve included. accept fails once they are taken.
+type outOfDescriptors struct {
+	net.Listener
+	free atomic.Int32
+}
+
+// countedConn gives its descriptor back when it is closed.
+type countedConn struct {
+	*net.TCPConn
+	close func()
+}
+
+func (c countedConn) Close() error {
+	c.close()
+	return c.TCPConn.Close()
+}
+
+func (l *outOfDescriptors) Accept() (net.Conn, error) {
+	if l.free.Add(-1) < 0 {
+		l.free.Add(1)
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn.(*net.TCPConn), sync.OnceFunc(func() { l.free.Add(1) })}, nil
+}
+
 // serveOn serves on a listener until the end of the test.
 func serveOn(t *testing.T, l net.Listener) {
 	t.Helper()
@@ -130,6 +161,41 @@
 	})
 }
 
+// Peers of a flood are let go of in time also while the process has hardly a descriptor for them: each makes room for
+// the next. accept used to wait until somebody else closed one, and the peers' 3 s went by in the queue.
+func TestPeersMakeRoomWhileDescriptorsAreExhausted(t *testing.T) {
+	t.Parallel()
+	const peers, descriptors, releaseWithin = 60, 2, 3 * time.Second
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &outOfDescriptors{Listener: inner}
+	l.free.Store(descriptors)
+	serveOn(t, l)
+	releases := make(chan time.Duration, peers)
+	for n := range peers {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if n%4 == 0 {
+			_, _ = io.WriteString(conn, "POST /api HTTP/1.1\r\nX-Request-")
+		}
+		began := time.Now()
+		go func() { // ends with the connection
+			_, _ = conn.Read(make([]byte, 1))
+			releases <- time.Since(began)
+		}()
+	}
+	for range peers {
+		if after := st.Receive(t, releases); after > releaseWithin {
+			t.Errorf("a peer is let go of after %v", after)
+		}
+	}
+}
+
 // A peer's time counts from when it connected: one that was accepted late is let go of as early as others.
 func TestAPeersTimeCountsFromItsConnection(t *testing.T) {
 	t.Parallel()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -145,6 +145,7 @@
 	limited := newLimitListener(l, s.connections.limit)
 	limited.onAcceptError = s.noteAcceptError
 	limited.onAccepted = s.noteAccepted
+	limited.makeRoom = s.connections.makeRoom
 	limited.onRequestBegun = s.connections.requestBegun
 	limited.onClose = func(c *clientConn) { s.invariants.CheckClose(c.closeReason(), c.isUnanswered.Load()) }
 	s.mu.Lock()
--- a/internal/netconn/accept.go
+++ b/internal/netconn/accept.go
@@ -32,6 +32,12 @@
 	syscall.EOPNOTSUPP,
 }
 
+// noDescriptorErrors are the errors of accept where the process, or the whole machine, has no descriptor left.
+var noDescriptorErrors = []error{syscall.EMFILE, syscall.ENFILE}
+
+// IsOutOfDescriptors reports whether accept failed for want of a descriptor: it works again once one has been closed.
+func IsOutOfDescriptors(err error) bool { return isOneOf(err, noDescriptorErrors) }
+
 // IsConnectionLost reports whether accept failed for the connection that it was about to return, which says nothing of
 // the next one.
 func IsConnectionLost(err error) bool { return isOneOf(err, lostConnectionErrors) }
