Pass the connections reserved for notices on to the successor

Cause: the connection that a process keeps in reserve for such a moment was closed with the predecessor, and the successor had none until sockets worked. Two are kept in reserve, as one may be used up just before the upgrade. This holds as it needs no socket of the machine.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -60,7 +60,7 @@
 // concurrent use, except that SkipInitialDelay and OnStaleChange come before Follow.
 type Client struct {
 	platform *platformState
-	reserved *reservedConnection
+	reserved *connectionReserve
 	lease    *endpointListLease
 	watcher  *watcher
 	notifier *notifier
@@ -76,7 +76,7 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: o.Control}
-	reserved := &reservedConnection{dial: dialer.DialContext}
+	reserved := &connectionReserve{dial: dialer.DialContext}
 	platform := &platformState{reserved: reserved}
 	lease := &endpointListLease{}
 	queueTime, initialDelay := contention(o.Senders)
@@ -134,7 +134,7 @@
 }
 
 // Move turns to another address of the platform. Calls to the old one are cancelled and go to the new one, and so
-// does the reserved connection for notices. A move to the address of now does nothing.
+// do the reserved connections for notices. A move to the address of now does nothing.
 func (c *Client) Move(address string) {
 	if c.platform.move(address) {
 		c.metrics.CountReason(metrics.ReasonDiscovery, ReasonMoved)
@@ -142,10 +142,17 @@
 	}
 }
 
-// ReserveConnection opens the reserved connection for notices in the background, if it does not stand. The event loop
-// calls it now and then.
+// ReserveConnection opens the reserved connections for notices in the background, as far as they do not stand. The
+// event loop calls it now and then.
 func (c *Client) ReserveConnection() { go c.reserved.refill() }
 
+// ReleaseReserved gives up the reserved connections for notices that are usable, to a successor: its machine may not
+// let it open one when it starts. The caller owns them.
+func (c *Client) ReleaseReserved() []ReservedConnection { return c.reserved.release() }
+
+// AdoptReserved takes over the reserved connections of a predecessor.
+func (c *Client) AdoptReserved(reserved []ReservedConnection) { c.reserved.adopt(reserved) }
+
 // SkipInitialDelay makes the first call go out at once, as a process that takes over from another one does not start
 // together with all other senders. It is called before Follow.
 func (c *Client) SkipInitialDelay() { c.watcher.initialDelay = 0 }
@@ -170,5 +177,5 @@
 	c.notifier.run(ctx, batches, delivered)
 }
 
-// Close closes the reserved connection for notices, for good. Follow and DeliverNotices end with their contexts.
+// Close closes the reserved connections for notices, for good. Follow and DeliverNotices end with their contexts.
 func (c *Client) Close() { c.reserved.close() }
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -8,11 +8,11 @@
 //
 // Owners of state. The watcher belongs to Follow's goroutine and the notifier to that of DeliverNotices; neither has
 // a lock. Three parts are shared, each with a mutex of its own: platformState (the platform's address, and by when
-// its changes bind), reservedConnection and endpointListLease. Only one lock is ever taken with another one held:
-// that of reservedConnection under that of platformState.
+// its changes bind), connectionReserve and endpointListLease. Only one lock is ever taken with another one held:
+// that of connectionReserve under that of platformState.
 //
 // Further goroutines. Each request of a hedged call has a goroutine, which ends when the call returns and cancels its
-// requests. The reserved connection is refilled on a goroutine that ends with the first success or soon after Close.
+// requests. The reserve of connections is refilled on a goroutine that ends with the first success or soon after Close.
 // Nobody waits for these, so that the next call of a watch goes out at once, and a stop is not held up by a socket
 // that cannot be had. The lease starts a timer that does nothing once the list is fresh.
 //
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -48,7 +48,7 @@
 type notifier struct {
 	http     *http.Client // takes its connections from reserved
 	platform *platformState
-	reserved *reservedConnection
+	reserved *connectionReserve
 	failures int // posts that failed in a row
 }
 
--- a/internal/discovery/notices_test.go
+++ b/internal/discovery/notices_test.go
@@ -42,12 +42,12 @@
 	}
 }
 
-// awaitReservedConnection waits until the reserved connection stands.
+// awaitReservedConnection waits until the reserved connections stand.
 func awaitReservedConnection(t *testing.T, client *Client, timeout time.Duration) {
 	t.Helper()
 	for deadline := time.Now().Add(timeout); ; time.Sleep(time.Millisecond) {
 		client.reserved.mu.Lock()
-		isReserved := client.reserved.conn != nil
+		isReserved := len(client.reserved.conns) == reservedConnections
 		client.reserved.mu.Unlock()
 		if isReserved {
 			return
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -17,7 +17,7 @@
 // platformState is what the watcher and the notifier both know of the platform: its address, and by when the changes
 // that it has not yet answered bind. The listener of signals changes the address. It is safe for concurrent use.
 type platformState struct {
-	reserved *reservedConnection // follows the address
+	reserved *connectionReserve // follows the address
 
 	mu            sync.Mutex
 	baseURL       string
--- /dev/null
+++ b/internal/discovery/reserve.go
@@ -0,0 +1,221 @@
+package discovery
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"onyxdyke.example/onyxdyke/internal/netconn"
+)
+
+const (
+	// reservedConnections is how many connections are kept in reserve. One may be taken, for a first notice or in place
+	// of a silent one, when no other can be opened, and a successor that starts then gets the second.
+	reservedConnections = 2
+
+	reserveDialTimeout    = time.Second           // bounds one attempt to open a reserved connection
+	initialReserveBackoff = 10 * time.Millisecond // before the next attempt; doubles
+	maxReserveBackoff     = 100 * time.Millisecond
+)
+
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ReservedConnection is a connection to the platform on which nothing has been sent.
+type ReservedConnection struct {
+	Address string // host and port
+	Conn    net.Conn
+}
+
+// connectionReserve opens connections and keeps unused ones open in reserve: a notice that is due within 0.3 s cannot
+// wait until a machine that is short of a resource lets a socket be opened again. After a move the connections to the
+// previous address are kept as well, until the platform closes them. It is safe for concurrent use.
+type connectionReserve struct {
+	dial dialFunc
+
+	mu              sync.Mutex
+	address         string     // host and port to which connections are reserved
+	conns           []net.Conn // the reserved connections to address
+	previousAddress string     // before the last move, "" if no connection to it stood then
+	previousConns   []net.Conn // to previousAddress
+	isOpening       bool       // a refill is in progress
+	isClosed        bool       // no connection is wanted any more
+}
+
+// DialContext returns a reserved connection to address if one is still usable, or opens a new one.
+func (r *connectionReserve) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if conn := r.take(address); conn != nil {
+		go r.refill()
+		return conn, nil
+	}
+	return r.dial(ctx, network, address)
+}
+
+// take removes a reserved connection to address and returns it. It returns nil if none is usable.
+func (r *connectionReserve) take(address string) net.Conn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch address {
+	case r.address:
+		return takeUsable(&r.conns)
+	case r.previousAddress:
+		return takeUsable(&r.previousConns)
+	}
+	return nil
+}
+
+// takeUsable removes connections from a list up to the first usable one, which it returns, nil for none. It closes
+// those that the platform has ended.
+func takeUsable(conns *[]net.Conn) net.Conn {
+	for len(*conns) > 0 {
+		conn := (*conns)[0]
+		*conns = (*conns)[1:]
+		if netconn.IsQuiet(conn) {
+			return conn
+		}
+		_ = conn.Close() // the platform has ended it
+	}
+	return nil
+}
+
+// setAddress makes address the one to which connections are reserved. It opens none, see refill.
+func (r *connectionReserve) setAddress(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.address == address {
+		return
+	}
+	if len(r.conns) > 0 {
+		closeUnused(r.previousConns)
+		r.previousConns, r.previousAddress, r.conns = r.conns, r.address, nil
+	}
+	r.address = address
+}
+
+// refill opens the reserved connections that are missing, and retries until a socket can be had. One refill works at a
+// time, another returns at once. Callers start it as a goroutine and do not wait for it: it ends when the connections
+// stand, or within reserveDialTimeout and a pause of close.
+func (r *connectionReserve) refill() {
+	if !r.beginRefill() {
+		return
+	}
+	backoff := initialReserveBackoff
+	for {
+		opened, isOver := r.tryOpen()
+		switch {
+		case isOver:
+			return
+		case opened:
+			backoff = initialReserveBackoff
+		default:
+			time.Sleep(backoff)
+			backoff = min(2*backoff, maxReserveBackoff)
+		}
+	}
+}
+
+// beginRefill drops the reserved connections that are not usable any more. It reports whether the caller has to open
+// the missing ones.
+func (r *connectionReserve) beginRefill() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = slices.DeleteFunc(r.conns, func(conn net.Conn) bool {
+		isEnded := !netconn.IsQuiet(conn)
+		if isEnded {
+			_ = conn.Close() // by the platform
+		}
+		return isEnded
+	})
+	isNeeded := r.isIncomplete() && !r.isOpening
+	r.isOpening = r.isOpening || isNeeded
+	return isNeeded
+}
+
+// isIncomplete reports whether a reserved connection is missing. The caller holds the lock.
+func (r *connectionReserve) isIncomplete() bool {
+	return len(r.conns) < reservedConnections && !r.isClosed
+}
+
+// tryOpen tries once to open a reserved connection. It reports whether that worked, and whether the refill is over: the
+// connections stand, or none is wanted any more.
+func (r *connectionReserve) tryOpen() (opened, isOver bool) {
+	r.mu.Lock()
+	address := r.address
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), reserveDialTimeout)
+	defer cancel()
+	conn, err := r.dial(ctx, "tcp", address)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	opened = err == nil && r.address == address // the platform may have moved meanwhile
+	switch {
+	case opened && r.isIncomplete():
+		r.conns = append(r.conns, conn)
+	case err == nil:
+		_ = conn.Close() // nothing was sent on it
+	}
+	r.isOpening = r.isIncomplete()
+	return opened, !r.isOpening
+}
+
+// lastAddress returns the address before the last move to which a reserved connection stood, "" for none.
+func (r *connectionReserve) lastAddress() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.previousAddress
+}
+
+// release removes all reserved connections that are usable and returns them. The caller owns them.
+func (r *connectionReserve) release() []ReservedConnection {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var released []ReservedConnection
+	for conn := takeUsable(&r.conns); conn != nil; conn = takeUsable(&r.conns) {
+		released = append(released, ReservedConnection{Address: r.address, Conn: conn})
+	}
+	for conn := takeUsable(&r.previousConns); conn != nil; conn = takeUsable(&r.previousConns) {
+		released = append(released, ReservedConnection{Address: r.previousAddress, Conn: conn})
+	}
+	return released
+}
+
+// adopt puts connections of another process into the reserve. Those to an address that is neither the present nor the
+// previous one are closed; the first other address becomes the previous one if there is none.
+func (r *connectionReserve) adopt(reserved []ReservedConnection) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, connection := range reserved {
+		if r.previousAddress == "" && connection.Address != r.address {
+			r.previousAddress = connection.Address
+		}
+		switch {
+		case r.isClosed:
+			_ = connection.Conn.Close() // nothing was sent on it
+		case connection.Address == r.address:
+			r.conns = append(r.conns, connection.Conn)
+		case connection.Address == r.previousAddress:
+			r.previousConns = append(r.previousConns, connection.Conn)
+		default:
+			_ = connection.Conn.Close()
+		}
+	}
+}
+
+// close closes the reserved connections. None is opened any more.
+func (r *connectionReserve) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isClosed = true
+	closeUnused(r.conns)
+	closeUnused(r.previousConns)
+	r.conns, r.previousConns = nil, nil
+}
+
+// closeUnused closes connections on which nothing was sent.
+func closeUnused(conns []net.Conn) {
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
--- a/internal/handover/doc.go
+++ b/internal/handover/doc.go
@@ -5,7 +5,8 @@
 // decisions. The successor asks for the owner's Snapshot over a Unix socket (upgrade.go). The owner stops accepting,
 // closes the journal, frees the lock and sends it; from then on it is the predecessor. Both keep the connection, the
 // Link, for what belongs to the other one: forwarded requests and their responses, the results of attempts that the
-// predecessor has in flight, and their cancellations.
+// predecessor has in flight, and their cancellations. Connections to the platform go with the snapshot as descriptors
+// (descriptors.go).
 //
 // The wire format is gob and outlives a release: processes of two releases hand over to one another. frozen.go holds
 // its types, to and from which each Packet is translated.
--- a/internal/handover/frozen.go
+++ b/internal/handover/frozen.go
@@ -20,7 +20,10 @@
 	Cancel *frozenAttemptID
 }
 
-type frozenHello struct{ Version int }
+type frozenHello struct {
+	Version     int
+	Connections bool
+}
 
 type frozenSnapshot struct {
 	ListVersion int64
@@ -28,6 +31,7 @@
 	Flights     []frozenFlight
 	Rests       map[string]time.Duration
 	Memory      frozenMemory
+	Connections []string
 }
 
 type frozenTarget struct {
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -21,11 +21,13 @@
 // Link is the connection to the other process. It is safe for concurrent use, but for Receive and Listen, which one
 // goroutine calls.
 type Link struct {
-	conn    net.Conn
+	conn    *descriptorConn
 	decoder *gob.Decoder
 	out     chan outgoing
 	once    sync.Once
 	gone    chan struct{}
+
+	takesConnections bool // the other process takes connections with a snapshot; set before the link is given out
 }
 
 // outgoing is a packet to be written, or with flushed a question whether all before it has been.
@@ -36,8 +38,14 @@
 
 // newLink makes a link on a connection. Its writer's goroutine ends with Close; nobody waits for it, as a write that
 // blocks would then hold up the event loop.
-func newLink(c net.Conn) *Link {
-	l := &Link{conn: c, decoder: gob.NewDecoder(c), out: make(chan outgoing, linkQueue), gone: make(chan struct{})}
+func newLink(c *net.UnixConn) *Link {
+	conn := &descriptorConn{UnixConn: c}
+	l := &Link{
+		conn:    conn,
+		decoder: gob.NewDecoder(conn),
+		out:     make(chan outgoing, linkQueue),
+		gone:    make(chan struct{}),
+	}
 	go l.write()
 	return l
 }
@@ -53,7 +61,7 @@
 			}
 			// A connection that takes no deadline fails in the write as well.
 			_ = l.conn.SetWriteDeadline(time.Now().Add(linkTimeout))
-			if encoder.Encode(o.packet.freeze()) != nil {
+			if l.writePacket(encoder, o.packet) != nil {
 				l.Close()
 				return
 			}
@@ -63,6 +71,15 @@
 	}
 }
 
+// writePacket writes a packet. The connections of a snapshot are the other process's from then on.
+func (l *Link) writePacket(encoder *gob.Encoder, p Packet) error {
+	if snapshot, ok := p.(*Snapshot); ok {
+		l.conn.outgoing = snapshot.connections()
+		defer closeAll(l.conn.outgoing)
+	}
+	return encoder.Encode(p.freeze())
+}
+
 // Send queues a packet. It never waits: a process that accepts nothing is as good as dead, and the link is closed.
 func (l *Link) Send(p Packet) { l.enqueue(outgoing{packet: p}) }
 
@@ -78,9 +95,15 @@
 func (l *Link) Receive() (Packet, error) {
 	var f frozenPacket
 	if err := l.decoder.Decode(&f); err != nil {
+		closeAll(l.conn.takeReceived())
 		return nil, err
 	}
-	return f.thaw(), nil
+	p := f.thaw()
+	// The decoder reads ahead: what came with a snapshot may have come with a packet before it.
+	if snapshot, ok := p.(*Snapshot); ok {
+		snapshot.attachConnections(l.conn.takeReceived())
+	}
+	return p, nil
 }
 
 // receiveWithin waits for the next packet for as long as linkTimeout.
@@ -94,6 +117,9 @@
 	return p, err
 }
 
+// TakesConnections reports whether the other process, a successor, takes connections with the snapshot.
+func (l *Link) TakesConnections() bool { return l.takesConnections }
+
 // Listen passes on what the other process sends until the link ends, and then that it is lost. It returns after that.
 func (l *Link) Listen(receive func(Packet), lost func()) {
 	for {
--- a/internal/handover/packet.go
+++ b/internal/handover/packet.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"net"
 	"time"
 
 	"onyxdyke.example/onyxdyke/internal/dispatch"
@@ -16,7 +17,10 @@
 }
 
 // Hello is the successor's request for the snapshot.
-type Hello struct{ Version int }
+type Hello struct {
+	Version          int
+	TakesConnections bool // the successor takes connections with the snapshot
+}
 
 // Snapshot is what the lock owner hands over beside the journal.
 type Snapshot struct {
@@ -25,6 +29,40 @@
 	InFlight     []InFlightAttempt
 	BackoffUntil map[string]time.Duration // by message ID: when its next attempt may start after a failed one
 	Dispatcher   dispatch.Snapshot
+	// Connections belong to the sender of the snapshot until it is written, and then to its receiver. They are for a
+	// successor that takes them.
+	Connections []PassedConnection
+}
+
+// PassedConnection is a connection to the platform on which nothing has been sent.
+type PassedConnection struct {
+	Address string // host and port
+	Conn    net.Conn
+}
+
+// connections returns the connections that go with the snapshot, in the order of their addresses on the wire.
+func (s *Snapshot) connections() []net.Conn {
+	var conns []net.Conn
+	for _, passed := range s.Connections {
+		conns = append(conns, passed.Conn)
+	}
+	return conns
+}
+
+// attachConnections adds the connections that came with a snapshot to their addresses. Addresses without one are
+// dropped, and all connections are closed if it is not clear which is which.
+func (s *Snapshot) attachConnections(received []net.Conn) {
+	addresses := s.Connections
+	s.Connections = nil
+	if len(received) != len(addresses) {
+		closeAll(received)
+		return
+	}
+	for i, conn := range received {
+		if conn != nil { // else it could not be taken
+			s.Connections = append(s.Connections, PassedConnection{Address: addresses[i].Address, Conn: conn})
+		}
+	}
 }
 
 // AttemptID names an attempt: both processes know a message by its ID, and its attempts by their index in the journal.
--- a/internal/handover/translate.go
+++ b/internal/handover/translate.go
@@ -9,7 +9,7 @@
 )
 
 func (h Hello) freeze() frozenPacket {
-	return frozenPacket{Hello: &frozenHello{Version: h.Version}}
+	return frozenPacket{Hello: &frozenHello{Version: h.Version, Connections: h.TakesConnections}}
 }
 
 func (s *Snapshot) freeze() frozenPacket {
@@ -41,7 +41,7 @@
 func (f frozenPacket) thaw() Packet {
 	switch {
 	case f.Hello != nil:
-		return Hello{Version: f.Hello.Version}
+		return Hello{Version: f.Hello.Version, TakesConnections: f.Hello.Connections}
 	case f.Estate != nil:
 		return f.Estate.thaw()
 	case f.Submit != nil:
@@ -91,6 +91,9 @@
 			Timeout:  l.Timeout,
 		})
 	}
+	for _, c := range s.Connections {
+		f.Connections = append(f.Connections, c.Address)
+	}
 	return f
 }
 
@@ -116,6 +119,9 @@
 			Timeout:  l.Timeout,
 		})
 	}
+	for _, address := range f.Connections {
+		s.Connections = append(s.Connections, PassedConnection{Address: address})
+	}
 	return s
 }
 
--- a/internal/handover/upgrade.go
+++ b/internal/handover/upgrade.go
@@ -35,8 +35,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	link := newLink(conn)
-	link.Send(Hello{Version: protocolVersion})
+	link := newLink(conn.(*net.UnixConn)) // the network is unix
+	link.Send(Hello{Version: protocolVersion, TakesConnections: true})
 	p, err := link.receiveWithin()
 	snapshot, ok := p.(*Snapshot)
 	if err == nil && !ok {
@@ -77,9 +77,10 @@
 		if err != nil {
 			return nil, err
 		}
-		link := newLink(conn)
+		link := newLink(conn.(*net.UnixConn)) // its listener's network is unix
 		p, err := link.receiveWithin()
 		if hello, ok := p.(Hello); err == nil && ok && hello.Version == protocolVersion {
+			link.takesConnections = hello.TakesConnections
 			return link, nil
 		}
 		log.Warn("a successor that is not understood", "err", err)
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"onyxdyke.example/onyxdyke/internal/discovery"
 	"onyxdyke.example/onyxdyke/internal/dispatch"
 	"onyxdyke.example/onyxdyke/internal/handover"
 )
@@ -33,6 +34,9 @@
 	// From now on only the successor knows whether a call may start.
 	s.abortUnsent(func(*inFlightCall) bool { return true })
 	snapshot := s.snapshot()
+	if successor.TakesConnections() {
+		snapshot.Connections = s.releaseConnections()
+	}
 	s.upgrade.handedSnapshot, s.upgrade.handedBackoffUntil = snapshot.Dispatcher, snapshot.BackoffUntil
 	s.log.Info("handing over", "pending", s.messages.pending, "calls", len(snapshot.InFlight))
 	s.closeJournal()
@@ -61,6 +65,25 @@
 	return snapshot
 }
 
+// releaseConnections gives up the connections that are reserved for notices. A successor whose machine lets it open no
+// socket when it starts has no other to deliver its notices in time.
+func (s *Sender) releaseConnections() []handover.PassedConnection {
+	var passed []handover.PassedConnection
+	for _, reserved := range s.discovery.ReleaseReserved() {
+		passed = append(passed, handover.PassedConnection(reserved))
+	}
+	return passed
+}
+
+// adoptConnections takes over the connections that came with a snapshot.
+func (s *Sender) adoptConnections(passed []handover.PassedConnection) {
+	var reserved []discovery.ReservedConnection
+	for _, connection := range passed {
+		reserved = append(reserved, discovery.ReservedConnection(connection))
+	}
+	s.discovery.AdoptReserved(reserved)
+}
+
 // inFlightAttempts lists the attempts in flight whose message has not ended.
 func (s *Sender) inFlightAttempts() []handover.InFlightAttempt {
 	var list []handover.InFlightAttempt
--- a/internal/sender/handover_test.go
+++ b/internal/sender/handover_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -140,6 +141,35 @@
 	}
 }
 
+// A successor whose machine lets it open no socket delivers the notices that are due meanwhile in time: the predecessor
+// passes its reserved connections on. Before that it had none until sockets worked, and notices were as late.
+func TestASuccessorThatCanOpenNoSocketDeliversNotices(t *testing.T) {
+	t.Parallel()
+	const deadline, noticeGrace = 1200 * time.Millisecond, 300 * time.Millisecond
+	p := st.NewAgent(t)
+	state := t.TempDir()
+	addr, listen := platformSocket(t)
+	startProcess(t, p, state, listen)
+	began := time.Now()
+	st.Submit(t, addr, "m", "safe", 5, deadline)
+	st.Submit(t, addr, "earlier", "safe", 5, 300*time.Millisecond)
+	if n := st.Receive(t, p.Notices); n.Message != "earlier" {
+		t.Fatalf("first notice %+v", n)
+	}
+	noSockets := OperatingSystem()
+	noSockets.Control = func(string, string, syscall.RawConn) error {
+		return os.NewSyscallError("socket", syscall.ENFILE)
+	}
+	admin, _ := startProcessIn(t, noSockets, p, state, listen)
+	awaitMetrics(t, admin, map[string]int{"outstanding": 1})
+	if n := st.Receive(t, p.Notices); n.Message != "m" {
+		t.Errorf("notice %+v", n)
+	}
+	if late := time.Since(began) - deadline; late > noticeGrace {
+		t.Errorf("the notice comes %v after the deadline", late)
+	}
+}
+
 // The socket that a killed process has left, a file on which nobody listens, prevents no start.
 func TestStaleSocketIsReplaced(t *testing.T) {
 	t.Parallel()
--- a/internal/sender/helpers_test.go
+++ b/internal/sender/helpers_test.go
@@ -145,10 +145,18 @@
 // and what stops it.
 func startProcess(
 	t *testing.T, p *st.Agent, state string, listen ListenFunc,
+) (admin string, stop func()) {
+	t.Helper()
+	return startProcessIn(t, OperatingSystem(), p, state, listen)
+}
+
+// startProcessIn is startProcess in an environment whose calls may fail.
+func startProcessIn(
+	t *testing.T, env Environment, p *st.Agent, state string, listen ListenFunc,
 ) (admin string, stop func()) {
 	t.Helper()
 	admin = freeAddress(t)
-	s := newTest(t, p, func(c *config.Config) { c.State, c.Admin = state, admin })
+	s := newTestIn(t, env, p, func(c *config.Config) { c.State, c.Admin = state, admin })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx, listen) }()
--- a/internal/sender/run.go
+++ b/internal/sender/run.go
@@ -59,6 +59,7 @@
 	}
 	if snapshot != nil {
 		known = snapshot.ListVersion
+		s.adoptConnections(snapshot.Connections)
 		s.discovery.SkipInitialDelay()
 	}
 	s.pool.OnRetryAfter(func(e *endpoint.Endpoint, pause time.Duration) {
