Give the batch of a test time to be written before its first timeout

It takes the batch to be written within 50 ms, the timeout of its first message. Change: the timeout is 1 s. The checks are the same: the call is abandoned for all at it, and may have run.

--- a/internal/sender/batching_test.go
+++ b/internal/sender/batching_test.go
@@ -71,7 +71,8 @@
 	defer l.Close()
 	s := newTest(t, st.NewAgent(t), nil)
 	var items []callItem
-	for id, timeout := range map[string]time.Duration{"a": 50 * time.Millisecond, "b": time.Hour} {
+	// Until the first timeout the call has to be written: one that is not never ran, and ends otherwise.
+	for id, timeout := range map[string]time.Duration{"a": time.Second, "b": time.Hour} {
 		item := &endpoint.Item{ID: id, Body: make([]byte, 20<<10), Timeout: timeout, LastAttempt: true}
 		items = append(items, callItem{Item: item, message: testMessage(id)})
 	}
