Play five seeds in the short soak, three with floods, and use connections through upgrades

The soak's clients use the connections to the old process until it is gone also after an upgrade, as they do after SIGTERM.

--- a/internal/emulator/injection.go
+++ b/internal/emulator/injection.go
@@ -152,7 +152,16 @@
 	defer r.restartLocks[sender].Unlock()
 	r.startLocks[sender].Lock()
 	defer r.startLocks[sender].Unlock()
+	running, gone := context.WithCancel(context.Background())
+	var using sync.WaitGroup
+	using.Add(1)
+	go func() {
+		defer using.Done()
+		r.clients[sender].UseIdleConnections(running)
+	}()
 	r.noteError(r.processes[sender].Upgrade())
+	gone()
+	using.Wait()
 }
 
 // reloadInSeries reloads a sender's configuration one to four times in a row; most reloads move discovery.
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -47,13 +47,20 @@
 	return report
 }
 
-// A short soak by plans in which faults of all kinds overlap. Longer ones are played by the command soak.
+// A short soak by plans in which faults of all kinds overlap; the last three have connection floods beside upgrades.
+// Longer ones are played by the command soak.
 func TestShortSoak(t *testing.T) {
 	t.Parallel()
-	for _, seed := range []uint64{2, 3} {
-		t.Run("", func(t *testing.T) {
+	for seed, load := range map[uint64]time.Duration{
+		2:  11 * time.Second,
+		3:  11 * time.Second,
+		16: 14 * time.Second,
+		22: 14 * time.Second,
+		58: 14 * time.Second,
+	} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			playRun(t, Options{Seed: seed, LoadDuration: 11 * time.Second, FaultKinds: AllFaultKinds})
+			playRun(t, Options{Seed: seed, LoadDuration: load, FaultKinds: AllFaultKinds})
 		})
 	}
 }
