--- a/cmd/sender/release_test.go
+++ b/cmd/sender/release_test.go
@@ -15,20 +15,28 @@
 	st "onyxdyke.example/onyxdyke/internal/sendertest"
 )
 
-// releaseCommit is the release in service. It hands over to this program in an upgrade, and takes over from it in a
+// release is one that is in service. It hands over to this program in an upgrade, and takes over from it in a
 // roll-back.
-const releaseCommit = "5d1fee9"
+type release struct {
+	commit  string
+	command string // the sender's package
+}
+
+var releases = []release{
+	{commit: "5d1fee9", command: "./cmd/saffronyard"},
+	{commit: "09cb254", command: "./cmd/sender"},
+}
 
-// buildRelease builds the program of the release from the history and returns its path.
-func buildRelease(t *testing.T) string {
+// build builds the program of the release from the history and returns its path.
+func (r release) build(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
 	archive := filepath.Join(dir, "release.tar")
 	program := filepath.Join(dir, "release")
 	for _, command := range []*exec.Cmd{
-		exec.Command("git", "archive", "-o", archive, releaseCommit+":"),
+		exec.Command("git", "archive", "-o", archive, r.commit+":"),
 		exec.Command("tar", "-xf", archive, "-C", dir),
-		exec.Command("go", "build", "-o", program, "./cmd/saffronyard"),
+		exec.Command("go", "build", "-o", program, r.command),
 	} {
 		command.Dir = dir
 		if command.Args[0] == "git" {
@@ -73,11 +81,16 @@
 	}
 }
 
-// The release hands over to this program, and that to the release again. A call that is in flight at the time ends
+// Each release hands over to this program, and that to the release again. A call that is in flight at the time ends
 // once and where it is counted, a message that waits is delivered by the successor, and a request that still comes on
 // a connection to the predecessor is answered there.
 func TestReleaseHandsOverAndTakesOverAgain(t *testing.T) {
-	release := buildRelease(t)
+	for _, r := range releases {
+		t.Run(r.commit, func(t *testing.T) { testUpgradeAndRollBack(t, r.build(t)) })
+	}
+}
+
+func testUpgradeAndRollBack(t *testing.T, release string) {
 	addr, socket := passedSocket(t)
 	state := t.TempDir()
 	opened := make(chan struct{}, 1)
