Give the messages without an endpoint of a scale test longer than a change of its list

Its message has 200 ms, and waits behind a change of all 1,024 entries, which may take 500 ms by the test's own bound. Change: the messages have 1 s. The checks are the same: accepted, given up by a notice, and no call to an endpoint that drains, for five times as long.

--- a/internal/sender/scale_test.go
+++ b/internal/sender/scale_test.go
@@ -23,6 +23,9 @@
 func TestThousandSendersAndEndpoints(t *testing.T) { // not parallel: it measures the heap
 
 	const n = 1024
+	// unreachableFor is the time of a message without an endpoint: longer than a change of all entries, which is
+	// applied before the message is accepted. One whose time is up by then is answered as given up, not accepted.
+	const unreachableFor = time.Second
 	one, two := st.NewEndpoint(t, st.Status(200)), st.NewEndpoint(t, st.Status(200))
 	lines := func(addr, state string, from int) (all []any) {
 		for i := from; i < n; i++ {
@@ -96,13 +99,13 @@
 	update(2, false, lines(two.Addr, "SERVING", 0))
 	deliver("moved", n-1, two)
 	update(3, false, lines(two.Addr, "DRAINING", 0))
-	st.Submit(t, addr, "pending", "safe", n-1, 200*time.Millisecond)
+	st.Submit(t, addr, "pending", "safe", n-1, unreachableFor)
 	if got := st.Receive(t, notices); got.Message != "pending" || got.Outcome != "given_up" || len(two.Calls) > 0 {
 		t.Errorf("with all endpoints draining: %+v, %d calls", got, len(two.Calls))
 	}
 	update(4, true, lines(one.Addr, "SERVING", n/2))
 	deliver("listed", n-1, one)
-	st.Submit(t, addr, "gone", "safe", 0, 200*time.Millisecond)
+	st.Submit(t, addr, "gone", "safe", 0, unreachableFor)
 	if got := st.Receive(t, notices); got.Message != "gone" || got.Outcome != "given_up" {
 		t.Errorf("with its endpoint off the list: %+v", got)
 	}
