--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"syscall"
 	"time"
 )
@@ -22,16 +23,16 @@
 	w.sleepUntil(loadFrom)
 	d.startLoad()
 	w.sleepUntil(silentHangAt)
-	d.hang(true)
+	d.hang(smallest, true)
 	w.sleepUntil(silenceAt)
 	if trouble {
 		w.note("trouble %d connections to the agent of n0 fall silent", d.proxies[0].silence())
 	}
 	w.sleepUntil(silentHangEnd)
-	d.hang(false)
+	d.hang(smallest, false)
 	d.stopLoad()
 	w.sleepUntil(lastJudgedAt)
-	broken, judged = w.checkLost()
+	broken, judged = w.checkLost(lostAfter)
 	return broken, judged, nil
 }
 
@@ -55,7 +56,7 @@
 	w.sleepUntil(loadFrom)
 	d.startLoad()
 	w.sleepUntil(upgradeHangAt)
-	d.hang(true)
+	d.hang(smallest, true)
 	w.sleepUntil(upgradeAt)
 	next, err := s.start("n0-2")
 	if err != nil {
@@ -84,8 +85,78 @@
 		old.signal(syscall.SIGKILL)
 	}
 	w.sleepUntil(upgradeHangEnd)
-	d.hang(false)
+	d.hang(smallest, false)
 	w.sleepUntil(upgradeEnd)
 	broken, judged = w.checkConcurrent()
 	return broken, judged, nil
 }
+
+// The times of playLateAccept. A message that was handed in before a sender was ready again is due after the time that
+// the restart excuses, and before the next kill.
+const (
+	lateHangAt    = 6 * time.Second
+	firstKillAt   = 8 * time.Second
+	killInterval  = 6600 * time.Millisecond
+	kills         = 3
+	downFor       = 1400 * time.Millisecond // from a SIGKILL to the next start
+	lateLoadEnd   = 23 * time.Second
+	lateHangEnd   = 27800 * time.Millisecond
+	lateJudgeTill = lateLoadEnd + 29*time.Second
+
+	hangingShare      = 0.95 // of the first sender's messages
+	othersStatusShare = 0.4  // among the messages of the other senders
+)
+
+// playLateAccept lets one partner system hang, to which a quarter of all messages go: the status updates of the first
+// sender's clients. That sender is killed a few times and started again. Clients hand a message in again that gets no
+// answer.
+func playLateAccept(d *deployment, trouble bool) (broken, judged int, err error) {
+	w, s, current, hanging := d.world, d.senders[0], d.processes[0], partners{0, 0}
+	for n, c := range d.clients {
+		c.perSecond, c.retries = [senderCount]float64{14, 24, 12}[n], mostRetries
+		c.weights[0], c.statusShare = 0, othersStatusShare
+	}
+	first := d.clients[0]
+	first.weights[0], first.statusShare = hangingShare/(1-hangingShare)*sum(first.weights), 1
+	w.sleepUntil(loadFrom)
+	d.startLoad()
+	w.sleepUntil(lateHangAt)
+	d.hang(hanging, true)
+	for n := 0; n < kills && trouble; n++ {
+		w.sleepUntil(firstKillAt + time.Duration(n)*killInterval)
+		if current, err = s.killAndStart(current, fmt.Sprintf("n0-%d", n+2)); err != nil {
+			return 0, 0, err
+		}
+	}
+	w.sleepUntil(lateLoadEnd)
+	d.stopLoad()
+	w.sleepUntil(lateHangEnd)
+	d.hang(hanging, false)
+	w.sleepUntil(lateJudgeTill)
+	broken, judged = w.checkLost(noticeDue)
+	return broken, judged, nil
+}
+
+// killAndStart kills a sender's process, and starts the next one after downFor. It waits until that is ready.
+func (s *sender) killAndStart(current *process, next string) (*process, error) {
+	s.world.restartBegins(s.name)
+	current.signal(syscall.SIGKILL)
+	<-current.exited
+	time.Sleep(downFor)
+	started, err := s.start(next)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.awaitReady(); err != nil {
+		return nil, err
+	}
+	s.world.restartEnds(s.name)
+	return started, nil
+}
+
+func sum(values [destinations]float64) (total float64) {
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,7 +18,7 @@
 	classStatus  = "vacancy-status"
 	classForward = "application-forward"
 
-	statusShare = 0.6 // of the messages
+	mostRetries = 3 // of a message that gets no answer
 
 	answerTimeout = 400 * time.Millisecond // how long a client waits for an answer
 )
@@ -33,6 +32,9 @@
 	world        *world
 	sender, addr string
 	perSecond    float64
+	weights      [destinations]float64 // the destinations' shares of the messages
+	statusShare  float64               // of the messages, the others are of classForward
+	retries      int                   // how often a message is handed in again that gets no answer
 
 	mu    sync.Mutex
 	idle  []*clientConn
@@ -65,35 +67,43 @@
 	defer c.mu.Unlock()
 	c.count++
 	class := classStatus
-	if rand.Float64() > statusShare {
+	if rand.Float64() >= c.statusShare {
 		class = classForward
 	}
 	id := fmt.Sprintf("%s-%05d", c.sender, c.count)
 	return &message{
 		id: id, class: class, sender: c.sender,
-		destination: drawDestination(), deadline: deadlines[class],
+		destination: c.drawDestination(), deadline: deadlines[class],
 	}
 }
 
-// drawDestination draws a destination by its share of the traffic.
-func drawDestination() int {
-	total := 0.0
-	for n := range destinations {
-		total += math.Pow(float64(n+1), -zipfExponent)
-	}
-	position := rand.Float64() * total
-	for n := range destinations {
-		if position -= math.Pow(float64(n+1), -zipfExponent); position < 0 {
+// drawDestination draws a destination by its share of the clients' messages.
+func (c *clients) drawDestination() int {
+	position := rand.Float64() * sum(c.weights)
+	for n, weight := range c.weights {
+		if position -= weight; position < 0 {
 			return n
 		}
 	}
 	return destinations - 1
 }
 
-// submit hands a message in.
+// submit hands a message in. One that gets no answer is handed in again at once, under a new id and with the time that
+// is left, at most as often as retries says.
 func (c *clients) submit(m *message) {
-	status, err := c.handIn(m)
-	c.world.answered(m, status, problemOf(err))
+	first, began := *m, time.Now()
+	for retry := 1; ; retry++ {
+		status, err := c.handIn(m)
+		c.world.answered(m, status, problemOf(err))
+		left := first.deadline - time.Since(began)
+		if status != 0 || retry > c.retries || left <= 0 {
+			return
+		}
+		m = &message{
+			id: fmt.Sprintf("%s.%d", first.id, retry), class: first.class, sender: first.sender,
+			destination: first.destination, deadline: left.Truncate(time.Millisecond),
+		}
+	}
 }
 
 // handIn hands a message in once. Where the sender has closed a connection between two requests, the request is sent
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -3,22 +3,23 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 )
 
-// ratePerSender holds the messages a second that each sender gets: one of the three is busy.
-var ratePerSender = [senderCount]float64{36, 9, 5}
+// ratePerSender holds the messages a second that each sender gets.
+var ratePerSender = [senderCount]float64{24, 16, 10}
 
 // The deployment: three senders, 13 destinations with 22 endpoints, 50 messages a second in all.
 const (
-	senderCount  = 3
-	destinations = 13
-	endpoints    = 22   // one for each destination, and a second one for the first of them
-	zipfExponent = 0.8  // of the destinations' shares of the traffic
-	nominalCalls = 15.0 // calls a second that each destination takes, as the list says
-	minService   = 20 * time.Millisecond
-	meanService  = 180 * time.Millisecond // on top of that, exponentially distributed
-	hangingFrom  = 7                      // the first of the six smallest destinations, with 23% of the traffic
+	senderCount      = 3
+	destinations     = 13
+	endpoints        = 22   // one for each destination, and a second one for the first of them
+	usualStatusShare = 0.5  // vacancy-status among the messages
+	zipfExponent     = 0.8  // of the destinations' shares of the traffic
+	nominalCalls     = 15.0 // calls a second that each destination takes, as the list says
+	minService       = 20 * time.Millisecond
+	meanService      = 180 * time.Millisecond // on top of that, exponentially distributed
 )
 
 // deployment holds the stand-ins and the senders of a run.
@@ -83,11 +84,20 @@
 	d.agents, d.proxies = append(d.agents, a), append(d.proxies, p)
 	d.senders, d.processes = append(d.senders, s), append(d.processes, first)
 	d.clients = append(d.clients, &clients{
-		world: d.world, sender: name, addr: s.addr, perSecond: ratePerSender[number],
+		world: d.world, sender: name, addr: s.addr, perSecond: ratePerSender[number], weights: zipfWeights(),
+		statusShare: usualStatusShare,
 	})
 	return nil
 }
 
+// zipfWeights returns the destinations' usual shares of the traffic.
+func zipfWeights() (weights [destinations]float64) {
+	for n := range weights {
+		weights[n] = math.Pow(float64(n+1), -zipfExponent)
+	}
+	return weights
+}
+
 // startLoad has the clients send messages until stopLoad is called.
 func (d *deployment) startLoad() {
 	var ctx context.Context
@@ -97,11 +107,17 @@
 	}
 }
 
-// hang makes the endpoints of the destinations from hangingFrom on take calls and answer none, or answer again.
-func (d *deployment) hang(hangs bool) {
+// partners is a range of destinations.
+type partners struct{ first, last int }
+
+// smallest are the six smallest destinations, which get 23% of the traffic.
+var smallest = partners{7, destinations - 1}
+
+// hang makes the endpoints of some destinations take calls and answer none, or answer again.
+func (d *deployment) hang(which partners, hangs bool) {
 	count := 0
 	for _, e := range d.endpoints {
-		if e.destination >= hangingFrom {
+		if e.destination >= which.first && e.destination <= which.last {
 			e.hangs.Store(hangs)
 			count++
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 var scenarios = map[string]scenario{
 	"silent-notices": playSilentNotices,
 	"upgrade-kill":   playUpgradeKill,
+	"late-accept":    playLateAccept,
 }
 
 func main() {
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -46,9 +46,19 @@
 	record   *bufio.Writer
 	messages map[string]*message
 	order    []*message
-	foreign  []string // messages of calls that no client handed in
+	foreign  []string          // messages of calls that no client handed in
+	excused  map[string][]span // by sender
 }
 
+// span is a time in which no notice of a sender is overdue: from the SIGKILL of a restart until excuseAfterReady after
+// the sender is ready again.
+type span struct{ from, until time.Duration }
+
+const (
+	excuseAfterReady = 1500 * time.Millisecond
+	forever          = time.Duration(1<<63 - 1)
+)
+
 func newWorld(recordPath string) (*world, error) {
 	file, err := os.Create(recordPath)
 	if err != nil {
@@ -59,6 +69,7 @@
 		file:     file,
 		record:   bufio.NewWriter(file),
 		messages: map[string]*message{},
+		excused:  map[string][]span{},
 	}, nil
 }
 
@@ -151,6 +162,22 @@
 	w.write("call    %s %s %s", c.endpoint, c.messageID, what)
 }
 
+// restartBegins records that a sender's process is about to be killed, and restartEnds that the next one is ready.
+func (w *world) restartBegins(sender string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.excused[sender] = append(w.excused[sender], span{from: w.now(), until: forever})
+	w.write("trouble SIGKILL to %s", sender)
+}
+
+func (w *world) restartEnds(sender string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	spans := w.excused[sender]
+	spans[len(spans)-1].until = w.now() + excuseAfterReady
+	w.write("trouble %s is ready again", sender)
+}
+
 // isTaken reports whether the client has heard that its message is taken on.
 func (m *message) isTaken() bool { return m.status == 200 || m.status == 202 }
 
