Post notices on new connections as soon as one post is not answered

Cause: each post ran to its own timeout, 100, 200, then 400 ms, and the next two connections came from the reserve, which had been open before the silence as well. The fourth post, 0.75 s later, was the first on a connection opened after it. After a longer silence the timeout of 500 ms made the notices late again.

Change: a post that has no answer in 50 ms is overdue; what is pending by then goes into a further post on a connection opened for it, and the overdue one may still succeed. Reserved connections that were open by then are used only where no new one can be opened, and are replaced. The figure discovery.notices_overdue counts overdue posts. This works at any moment of a silence, as it depends on no connection that was open before.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -31,13 +31,15 @@
 	maxDiscardedBytes = 64 << 10
 )
 
-// Reasons by which calls for the endpoint list are counted, with metrics.ReasonDiscovery.
+// Reasons by which calls to the platform are counted, with metrics.ReasonDiscovery.
 const (
 	ReasonHedged   = "hedged"  // a further request was sent while an earlier one was unanswered
 	ReasonRejected = "refused" // the platform answered with something other than the list
 	ReasonSilent   = "silent"  // the first request of a call timed out
 	ReasonMoved    = "moved"   // the platform moved to another address
 	ReasonStale    = "stale"   // no call could be made for longer than the duration of the lease
+
+	ReasonNoticesOverdue = "notices_overdue" // a post of notices was not answered in time
 )
 
 // StaleFunc is called when the endpoint list becomes stale, and when it becomes fresh again. It may be called on
@@ -96,9 +98,7 @@
 			log:          o.Log,
 			knownVersion: noVersion,
 		},
-		// Notices have an HTTP client of their own, so that a failed call for the list does not close their
-		// connections.
-		notifier: &notifier{http: newHTTPClient(reserved.DialContext), platform: platform, reserved: reserved},
+		notifier: newNotifier(reserved, platform, o.Metrics),
 		metrics:  o.Metrics,
 	}
 	c.Move(o.Address)
@@ -117,7 +117,7 @@
 	return queueTime, initialDelay
 }
 
-// newHTTPClient returns an HTTP client that opens its connections with dial and follows no redirects.
+// newHTTPClient returns the HTTP client for the list. It opens its connections with dial and follows no redirects.
 func newHTTPClient(dial dialFunc) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
@@ -177,7 +177,8 @@
 	c.watcher.follow(ctx, version, requests, updated, failed)
 }
 
-// DeliverNotices posts each batch of notices once, until ctx ends, and calls delivered after each post.
+// DeliverNotices posts each batch of notices, until ctx ends, and calls delivered once the batch is accepted, or its
+// post has failed or is overdue.
 func (c *Client) DeliverNotices(ctx context.Context, batches <-chan []Notice, delivered DeliveredFunc) {
 	c.notifier.run(ctx, batches, delivered)
 }
--- a/internal/discovery/notices_test.go
+++ b/internal/discovery/notices_test.go
@@ -37,7 +37,8 @@
 	areSocketsExhausted.Store(false)
 	awaitReservedConnection(t, client, 200*time.Millisecond)
 	areSocketsExhausted.Store(true)
-	if err := client.notifier.post(context.Background(), "http://"+second, []byte("{}\n"), maxPostTimeout); err != nil {
+	post := &noticePost{address: second, lines: []byte("{}\n")}
+	if err := client.notifier.post(context.Background(), post, client.notifier.connector(), postTimeout); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 )
@@ -72,6 +73,9 @@
 	release context.CancelFunc // ends ctx; the caller of locate must call it
 }
 
+// address returns the host and port of the platform.
+func (l location) address() string { return strings.TrimPrefix(l.baseURL, "http://") }
+
 // hasMoved reports whether the platform has moved, or the caller's context has ended.
 func (l location) hasMoved() bool { return l.ctx.Err() != nil }
 
--- a/internal/discovery/reserve.go
+++ b/internal/discovery/reserve.go
@@ -38,21 +38,13 @@
 	mu              sync.Mutex
 	address         string     // host and port to which connections are reserved
 	conns           []net.Conn // the reserved connections to address
+	distrusted      []net.Conn // those to address that may be unresponsive; each is closed once it is replaced
 	previousAddress string     // address before the last move; "" if no connection to it was open then
 	previousConns   []net.Conn // the reserved connections to previousAddress
 	isOpening       bool       // a refill is in progress
 	isClosed        bool       // the reserve is closed: no connection is opened any more
 }
 
-// DialContext returns a reserved connection to address if one is still usable, or opens a new one.
-func (r *connectionReserve) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if conn := r.take(address); conn != nil {
-		go r.refill()
-		return conn, nil
-	}
-	return r.dial(ctx, network, address)
-}
-
 // take removes a usable reserved connection to address and returns it, or nil if there is none.
 func (r *connectionReserve) take(address string) net.Conn {
 	r.mu.Lock()
@@ -66,6 +58,32 @@
 	return nil
 }
 
+// takeDistrusted removes a reserved connection to address that may be unresponsive, and returns it, or nil if there is
+// none.
+func (r *connectionReserve) takeDistrusted(address string) net.Conn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if address != r.address {
+		return nil
+	}
+	return takeUsable(&r.distrusted)
+}
+
+// distrust marks the connections to an address that are reserved now as possibly unresponsive. take does not return
+// them any more. They stay open until they have been replaced, because sockets may be scarce.
+func (r *connectionReserve) distrust(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if address != r.address {
+		return
+	}
+	r.distrusted = append(r.distrusted, r.conns...)
+	r.conns = nil
+	surplus := max(0, len(r.distrusted)-reservedConnections)
+	closeUnused(r.distrusted[:surplus])
+	r.distrusted = r.distrusted[surplus:]
+}
+
 // takeUsable removes connections from a list up to the first usable one, and returns that, or nil if there is none. It
 // closes the removed connections that are not usable because the platform has closed them.
 func takeUsable(conns *[]net.Conn) net.Conn {
@@ -87,11 +105,15 @@
 	if r.address == address {
 		return
 	}
+	if len(r.conns) == 0 {
+		r.conns, r.distrusted = r.distrusted, nil
+	}
 	if len(r.conns) > 0 {
 		closeUnused(r.previousConns)
 		r.previousConns, r.previousAddress, r.conns = r.conns, r.address, nil
 	}
-	r.address = address
+	closeUnused(r.distrusted)
+	r.address, r.distrusted = address, nil
 }
 
 // refill opens the missing reserved connections, and retries until sockets can be opened. Only one refill runs at a
@@ -154,6 +176,10 @@
 	switch {
 	case opened && r.isIncomplete():
 		r.conns = append(r.conns, conn)
+		if len(r.distrusted) > 0 { // conn replaces it
+			_ = r.distrusted[0].Close() // nothing was sent on it
+			r.distrusted = r.distrusted[1:]
+		}
 	case err == nil:
 		_ = conn.Close() // nothing was sent on it
 	}
@@ -172,6 +198,9 @@
 func (r *connectionReserve) release() []ReservedConnection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.conns) == 0 {
+		r.conns, r.distrusted = r.distrusted, nil // better than none
+	}
 	var released []ReservedConnection
 	for conn := takeUsable(&r.conns); conn != nil; conn = takeUsable(&r.conns) {
 		released = append(released, ReservedConnection{Address: r.address, Conn: conn})
@@ -211,8 +240,9 @@
 	defer r.mu.Unlock()
 	r.isClosed = true
 	closeUnused(r.conns)
+	closeUnused(r.distrusted)
 	closeUnused(r.previousConns)
-	r.conns, r.previousConns = nil, nil
+	r.conns, r.distrusted, r.previousConns = nil, nil, nil
 }
 
 // closeUnused closes connections on which nothing was sent.
--- a/internal/sender/notices_test.go
+++ b/internal/sender/notices_test.go
@@ -162,3 +162,98 @@
 		t.Errorf("delivered %v, pending %v, %d in the journal; want only d pending", batch, pending, s.journal.Len())
 	}
 }
+
+// Guards against notices that come too late when the connections to the agent fall silent (review case 1): the next
+// connections to be tried had been open before the silence as well. New connections work all the time, or do so again
+// at the end of a longer silence. A message has to be ended at most 300 ms after its deadline.
+func TestNoticesAreInTimeWhenConnectionsFallSilent(t *testing.T) {
+	t.Parallel()
+	const (
+		firstDeadline = 800 * time.Millisecond
+		interval      = 20 * time.Millisecond // between two deadlines
+		messages      = 60
+		noticeDue     = 300 * time.Millisecond // after the deadline, by the protocol
+	)
+	for name, silences := range map[string][]time.Duration{ // times from the first deadline on
+		"once":             {300 * time.Millisecond},
+		"at a deadline":    {0},
+		"twice":            {300 * time.Millisecond, 370 * time.Millisecond},
+		"again and again":  {100 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond},
+		"while it is idle": {-500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			agent := st.NewAgent(t)
+			proxy := st.NewProxy(t, agent.Addr)
+			agent.Addr = proxy.Addr
+			addr := startSender(t, agent, nil)
+			time.Sleep(100 * time.Millisecond) // until the connections in reserve are open
+			began := time.Now()
+			deadlines := submitExpiring(t, addr, began.Add(firstDeadline), interval, messages)
+			go func() {
+				for _, at := range silences {
+					time.Sleep(time.Until(began.Add(firstDeadline + at)))
+					proxy.Silence()
+				}
+			}()
+			checkNoticesInTime(t, agent, deadlines, noticeDue)
+		})
+	}
+}
+
+// Guards against notices that come too late after the agent did not answer on any connection, new ones included: the
+// time that a post without an answer took had grown meanwhile, and the first one to reach the agent came after that.
+func TestNoticesAreInTimeAtTheEndOfASilence(t *testing.T) {
+	t.Parallel()
+	const noticeDue = 300 * time.Millisecond // after the deadline, by the protocol
+	for _, silence := range []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second} {
+		t.Run(silence.String(), func(t *testing.T) {
+			t.Parallel()
+			agent := st.NewAgent(t)
+			proxy := st.NewProxy(t, agent.Addr)
+			agent.Addr = proxy.Addr
+			addr := startSender(t, agent, nil)
+			time.Sleep(100 * time.Millisecond) // until the connections in reserve are open
+			proxy.SetSilent(true)
+			ends := time.Now().Add(silence)
+			st.Submit(t, addr, "early", "safe", 5, 50*time.Millisecond)
+			deadlines := submitExpiring(t, addr, ends, 20*time.Millisecond, 30)
+			time.Sleep(time.Until(ends))
+			proxy.SetSilent(false)
+			checkNoticesInTime(t, agent, deadlines, noticeDue)
+		})
+	}
+}
+
+// submitExpiring submits messages that no endpoint takes, whose deadlines are spaced evenly from the first one on, and
+// returns the deadlines by message ID.
+func submitExpiring(
+	t *testing.T, addr string, first time.Time, interval time.Duration, messages int,
+) map[string]time.Time {
+	t.Helper()
+	deadlines := map[string]time.Time{}
+	for n := range messages {
+		id, deadline := "m"+strconv.Itoa(n), first.Add(time.Duration(n)*interval)
+		deadlines[id] = deadline
+		st.Submit(t, addr, id, "safe", 5, time.Until(deadline))
+	}
+	return deadlines
+}
+
+// checkNoticesInTime waits for the notices of messages, and fails the test if one arrives later than due after its
+// message's deadline.
+func checkNoticesInTime(t *testing.T, agent *st.Agent, deadlines map[string]time.Time, due time.Duration) {
+	t.Helper()
+	noticed := map[string]bool{}
+	for len(noticed) < len(deadlines) {
+		n := st.Receive(t, agent.Notices)
+		deadline, ok := deadlines[n.Message]
+		if !ok || noticed[n.Message] {
+			continue
+		}
+		noticed[n.Message] = true
+		if late := time.Since(deadline); late > due {
+			t.Errorf("the notice of %s arrives %v after its deadline, %v are allowed", n.Message, late, due)
+		}
+	}
+}
