Hedge a call for the endpoint list on a new connection

A hedge could take an idle connection that fell silent together with the one it hedges, the same cause as that of the late notices: a change of the list was received up to 0.41 s after it, where 0.35 s leave time for the grace period of a drain. Idle connections are closed before a hedge now.

--- a/internal/discovery/hedge.go
+++ b/internal/discovery/hedge.go
@@ -66,6 +66,7 @@
 		case <-timer.C:
 			if w.mayHedge() {
 				w.recordHedge()
+				w.list.closeIdle() // they may be unresponsive as well, so the hedge gets a new connection
 				go w.list.fetchInto(ctx, results, query, query.longPoll+hedgeTimeout, true)
 				timer.Reset(hedgeInterval)
 			}
--- a/internal/discovery/hedge_test.go
+++ b/internal/discovery/hedge_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -63,6 +64,44 @@
 	}
 }
 
+// Guards against a change that is received too late after the connections to the agent fell silent: a hedge on another
+// connection that was idle at that time is not answered either.
+func TestHedgesGetNewConnections(t *testing.T) {
+	t.Parallel()
+	const receivedWithin = 350 * time.Millisecond // a drain has 500 ms, of which the sender may be paused for 150 ms
+	for _, offset := range []time.Duration{0, 40 * time.Millisecond, 80 * time.Millisecond, 120 * time.Millisecond} {
+		t.Run(offset.String(), func(t *testing.T) {
+			t.Parallel()
+			agent := &interruptedAgent{version: 7, changed: make(chan struct{})}
+			proxy := st.NewProxy(t, newServer(t, agent))
+			client := newTestClient(proxy.Addr, fewSenders)
+			list := client.watcher.list
+			var polls sync.WaitGroup
+			query := list.query("http://"+proxy.Addr, 7)
+			for range 3 { // three long polls at once need connections of their own, which are idle after that
+				polls.Add(1)
+				go func() {
+					defer polls.Done()
+					if _, err := list.fetch(context.Background(), query, st.Timeout); err != nil {
+						t.Error(err)
+					}
+				}()
+			}
+			polls.Wait()
+			updates := follow(t, client, noVersion)
+			awaitVersion(t, updates, 7)
+			time.Sleep(offset) // so that the silence begins at different times of a watch
+			proxy.Silence()
+			began := time.Now()
+			agent.change(func() { agent.version++ })
+			awaitVersion(t, updates, 8)
+			if took := time.Since(began); took > receivedWithin {
+				t.Errorf("the change is received after %v", took)
+			}
+		})
+	}
+}
+
 // interruptedAgent is an agent that pauses, during which it is unresponsive, and has a newer version of its list after
 // each pause.
 type interruptedAgent struct {
