--- a/internal/sender/dispatch.go
+++ b/internal/sender/dispatch.go
@@ -11,8 +11,14 @@
 )
 
 // dispatch runs one step of the dispatcher, writes the resulting actions to the journal, and only then announces and
-// executes them.
+// executes them. Once the dispatcher makes no more decisions, it only writes what has been appended to the journal.
 func (s *Sender) dispatch(ctx context.Context, events []dispatch.Event) {
+	if s.dispatchStopped {
+		s.flush()
+		s.notices.deliver()
+		s.publishMetrics()
+		return
+	}
 	now := s.clock.Now()
 	actions := s.dispatcher.Step(now, s.withStorageStatus(events))
 	ended := s.appendActions(now, actions)
--- a/internal/sender/events.go
+++ b/internal/sender/events.go
@@ -61,6 +61,9 @@
 	// linkLostEvent reports that the link to the other process of an upgrade has failed, or that the process is dead.
 	linkLostEvent struct{ link *handover.Link }
 
+	// lockHeldEvent reports that another process holds the lock at the loss of the successor.
+	lockHeldEvent struct{}
+
 	// lockAcquiredEvent reports that this process again holds the lock that it had handed over. The lock is nil if the
 	// state directory cannot be locked any more.
 	lockAcquiredEvent struct{ lock *os.File }
@@ -79,6 +82,7 @@
 func (successorEvent) isEvent()         {}
 func (packetEvent) isEvent()            {}
 func (linkLostEvent) isEvent()          {}
+func (lockHeldEvent) isEvent()          {}
 func (lockAcquiredEvent) isEvent()      {}
 
 // post queues an event for the loop and waits while the queue is full. It returns false if ctx ends first.
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -52,18 +52,27 @@
 	snapshot := &handover.Snapshot{
 		ListVersion:  s.listVersion,
 		InFlight:     s.inFlightAttempts(),
-		BackoffUntil: map[string]time.Duration{},
+		BackoffUntil: s.backoffUntil(),
 		Dispatcher:   s.dispatcher.Snapshot(),
 	}
 	for _, e := range s.list.byNumber {
 		snapshot.Endpoints = append(snapshot.Endpoints, e.entry)
 	}
+	return snapshot
+}
+
+// backoffUntil returns by message ID when the next attempt may start after a failed one.
+func (s *Sender) backoffUntil() map[string]time.Duration {
+	if s.dispatchStopped && s.upgrade.handedOverBackoffUntil != nil {
+		return s.upgrade.handedOverBackoffUntil // the dispatcher does not know the messages that were taken back
+	}
+	backoffUntil := map[string]time.Duration{}
 	for number, until := range s.dispatcher.BackoffUntil() {
 		if m := s.messages.byNumber[number]; m != nil {
-			snapshot.BackoffUntil[m.ID] = until
+			backoffUntil[m.ID] = until
 		}
 	}
-	return snapshot
+	return backoffUntil
 }
 
 // releaseConnections gives up the connections that are reserved for notices, and returns them for the successor. If the
@@ -120,7 +129,8 @@
 
 // reclaimOwnership resumes the ownership after the successor's death. The attempts that the successor had in flight may
 // have run. The attempts that this process had in flight at the hand-over are restored as in flight; missedEvents then
-// handles the ends of those that have ended since.
+// handles the ends of those that have ended since. During the drain of a shutdown nothing is sent any more, but the
+// ends of the calls are recorded, and the next process gets those in flight with the snapshot.
 func (s *Sender) reclaimOwnership(ctx context.Context, lock *os.File) {
 	snapshot := &handover.Snapshot{
 		InFlight:     s.inFlightAttempts(),
@@ -134,17 +144,28 @@
 		return
 	}
 	s.upgrade.handedOver = false
-	s.dispatcher = dispatch.New(s.config.Settings, s.config.Seed)
-	s.pool.KeepIdle(true)
 	handedOverMessages := s.messages.byID
 	s.messages.clear()
-	s.restoreState(ctx, snapshot, func(attempt handover.InFlightAttempt) *inFlightCall {
+	ownCall := func(attempt handover.InFlightAttempt) *inFlightCall {
 		m := handedOverMessages[attempt.ID.Message]
 		c := *m.calls[attempt.ID.Attempt-m.priorAttempts] // this process still makes the call itself
 		c.reportedEnd = nil
 		return &c
-	})
-	s.log.Warn("serving again after the successor's death", "pending", s.messages.pending)
+	}
+	if s.dispatchStopped {
+		s.restoreMessages(snapshot, ownCall)
+	} else {
+		s.dispatcher = dispatch.New(s.config.Settings, s.config.Seed)
+		s.pool.KeepIdle(true)
+		s.restoreState(ctx, snapshot, ownCall)
+		s.upgrade.handedOverBackoffUntil = nil // the dispatcher knows them
+	}
+	if s.dispatchStopped {
+		s.log.Warn("owner again until the end after the successor's death", "pending", s.messages.pending,
+			"calls", s.callsInFlight)
+	} else {
+		s.log.Warn("serving again after the successor's death", "pending", s.messages.pending)
+	}
 	s.upgrade.startAwaitingSuccessor(ctx)
 	s.dispatch(ctx, s.missedEvents(ctx, handedOverMessages))
 	if !s.dispatchStopped && s.clientListener.open != nil {
@@ -152,13 +173,16 @@
 	}
 }
 
-// abandonReclaim releases the lock and tries to take it again after relockInterval.
+// abandonReclaim releases the lock and tries to take it again after relockInterval. It cancels the calls in flight: a
+// process that takes the lock meanwhile does not know of them.
 func (s *Sender) abandonReclaim(ctx context.Context) {
 	s.journal = nil
+	s.cancelCalls()
 	s.upgrade.releaseLock()
+	keepTrying := !s.dispatchStopped
 	go func() { // ends with ctx, at most relockInterval later
 		time.Sleep(relockInterval)
-		s.upgrade.awaitLock(ctx)
+		s.upgrade.awaitLock(ctx, keepTrying)
 	}()
 }
 
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -20,13 +20,7 @@
 		return
 	}
 	events, successor := s.handleQueued(ctx, first)
-	if s.dispatchStopped {
-		s.flush()
-		s.notices.deliver()
-		s.publishMetrics()
-	} else {
-		s.dispatch(ctx, events)
-	}
+	s.dispatch(ctx, events)
 	if successor != nil && s.canHandOver(ctx, successor) {
 		s.handOver(successor)
 	}
--- a/internal/sender/peer.go
+++ b/internal/sender/peer.go
@@ -82,19 +82,27 @@
 		}
 	case successorEvent:
 		e.link.Close() // the other process has to ask the current lock owner
+	case lockHeldEvent:
+		s.handleLockHeld()
 	case lockAcquiredEvent:
 		s.reclaimOwnership(ctx, e.lock)
 	case packetEvent:
 		s.handlePacketAfterHandOver(ctx, e)
 	case linkLostEvent:
-		if e.link == s.upgrade.successor {
-			s.handleSuccessorLoss(ctx)
-		} else {
-			s.reportAttemptEnds(s.handlePredecessorLoss(e.link))
-		}
+		s.handleLinkLossAfterHandOver(ctx, e.link)
 	}
 }
 
+// handleLinkLossAfterHandOver handles the loss of the successor, or of the predecessor whose calls the successor has to
+// learn the ends of.
+func (s *Sender) handleLinkLossAfterHandOver(ctx context.Context, link *handover.Link) {
+	if link == s.upgrade.successor {
+		s.handleSuccessorLoss(ctx)
+		return
+	}
+	s.reportAttemptEnds(s.handlePredecessorLoss(link))
+}
+
 // handlePacketAfterHandOver passes requests and results from the predecessor on to the successor, and handles the
 // successor's own packets.
 func (s *Sender) handlePacketAfterHandOver(ctx context.Context, e packetEvent) {
@@ -115,15 +123,23 @@
 	}
 }
 
-// handleSuccessorLoss starts to wait for the lock again. During the drain it answers the forwarded requests instead.
+// handleSuccessorLoss tries to take the lock again, in every phase of a shutdown: as long as this process has calls in
+// flight, no other process may own the state directory without knowing of them. During the drain it also answers the
+// forwarded requests, which no longer wait for that, and leaves the lock to another process that holds it.
 func (s *Sender) handleSuccessorLoss(ctx context.Context) {
 	s.upgrade.successor = nil
-	s.log.Warn("link to the successor lost")
-	if !s.dispatchStopped {
-		go s.upgrade.awaitLock(ctx)
-	} else {
+	s.log.Warn("link to the successor lost", "calls", s.callsInFlight)
+	if s.dispatchStopped {
 		s.abandonForwarded()
 	}
+	go s.upgrade.awaitLock(ctx, !s.dispatchStopped)
+}
+
+// handleLockHeld cancels the calls in flight after the loss of the successor, because another process holds the lock.
+// It has no link to this one, so to that process these calls are over, and it may send their messages again.
+func (s *Sender) handleLockHeld() {
+	s.log.Warn("another process holds the state directory", "cancelled", s.callsInFlight)
+	s.cancelCalls()
 }
 
 // cancelAttempt cancels the call of an attempt, if it is still in flight.
--- a/internal/sender/restore.go
+++ b/internal/sender/restore.go
@@ -25,6 +25,12 @@
 	} else {
 		events = s.restoreEndpointList(ctx)
 	}
+	s.dispatch(ctx, append(events, s.restoreMessages(snapshot, newCall)...))
+}
+
+// restoreMessages restores the messages and the notices that are in the journal. It returns the messages as events for
+// the dispatcher. The snapshot may be nil, as in restoreState.
+func (s *Sender) restoreMessages(snapshot *handover.Snapshot, newCall callFactory) (events []dispatch.Event) {
 	inFlight := map[string]handover.InFlightAttempt{}
 	if snapshot != nil {
 		for _, attempt := range snapshot.InFlight {
@@ -45,7 +51,7 @@
 		}
 		events = append(events, restored)
 	}
-	s.dispatch(ctx, events)
+	return events
 }
 
 // restoreSnapshot restores the endpoint list and the dispatcher. The list of a snapshot is up to date, so nothing waits
--- a/internal/sender/successorloss_test.go
+++ b/internal/sender/successorloss_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -186,3 +187,168 @@
 	}
 	s.awaitEnd(t)
 }
+
+// Guards against two attempts of a message at once when the successor dies while the predecessor drains (review case
+// 2): the next process must learn of the calls that the predecessor still has in flight.
+func TestMessagesAreNotSentAgainWhileADrainingPredecessorHasThemInFlight(t *testing.T) {
+	t.Parallel()
+	const (
+		protocolSlack = 50 * time.Millisecond // by which the protocol lengthens every limit
+
+		messages     = 3 // each to a destination of its own
+		gracePeriod  = 200 * time.Millisecond
+		drainTimeout = 1500 * time.Millisecond
+		nextStart    = 600 * time.Millisecond // from a SIGKILL to the next start, by the protocol
+	)
+	for name, c := range map[string]struct {
+		diesAfter time.Duration // from the predecessor's SIGTERM on
+		pause     time.Duration // until the next process starts
+	}{
+		"at the end of the grace period": {gracePeriod - 10*time.Millisecond, nextStart},
+		"at the begin of the drain":      {gracePeriod + 5*time.Millisecond, nextStart},
+		"in the drain":                   {gracePeriod + 200*time.Millisecond, nextStart},
+		"in the drain, next one at once": {gracePeriod + 200*time.Millisecond, 0},
+		"near the end of the drain":      {drainTimeout - 100*time.Millisecond, 0},
+		"while the calls are cancelled":  {drainTimeout, 0},
+		"next one near the drain's end": {
+			gracePeriod + 100*time.Millisecond,
+			drainTimeout - gracePeriod - 200*time.Millisecond,
+		},
+		"next one after the process ends": {gracePeriod + 100*time.Millisecond, drainTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			attempts := newAttemptCounter()
+			hung := st.NewEndpoint(t, attempts.neverAnswer)
+			agent := st.NewAgent(t, hung.Addr, hung.Addr, hung.Addr)
+			addr, listen := platformSocket(t)
+			s := newStoppable(newTestSender(t, agent, nil))
+			s.shutdown.gracePeriod, s.shutdown.drainTimeout = gracePeriod, drainTimeout
+			s.run(listen)
+			for n := range messages {
+				st.Submit(t, addr, "safe"+strconv.Itoa(n), "safe", n, 15*time.Second)
+				hung.NextCall(t)
+			}
+			link, snapshot := requestSnapshot(t, s.upgrade.stateDir)
+			if len(snapshot.InFlight) != messages {
+				t.Fatalf("the snapshot has %d attempts in flight, want %d", len(snapshot.InFlight), messages)
+			}
+			s.stop()
+			time.Sleep(c.diesAfter)
+			link.Close()
+			time.Sleep(c.pause)
+			startProcess(t, agent, s.upgrade.stateDir, listen)
+			if err := st.Receive(t, s.done); err != nil {
+				t.Error(err)
+			}
+			// The next process sends messages again.
+			hung.NextCall(t)
+			if id, both := attempts.longestOverlap(); both > protocolSlack {
+				t.Errorf("two attempts of %s are in flight at once for %v", id, both)
+			}
+		})
+	}
+}
+
+// Guards against two attempts of a message at once where another process has taken the lock by the time that the
+// predecessor notices its successor's death: to that process the predecessor's calls are over, so they have to end.
+func TestCallsEndIfAnotherProcessOwnsTheStateAtTheSuccessorsDeath(t *testing.T) {
+	t.Parallel()
+	const nextStart = 600 * time.Millisecond // from a SIGKILL to the next start, by the protocol
+	for _, draining := range []bool{false, true} {
+		t.Run("draining "+strconv.FormatBool(draining), func(t *testing.T) {
+			t.Parallel()
+			attempts := newAttemptCounter()
+			hung := st.NewEndpoint(t, attempts.neverAnswer)
+			addr, listen := platformSocket(t)
+			s := newStoppable(newTestSender(t, st.NewAgent(t, hung.Addr), nil))
+			s.shutdown.gracePeriod, s.shutdown.drainTimeout = 0, 5*time.Second
+			s.run(listen)
+			st.Submit(t, addr, "out", "safe", 0, 15*time.Second)
+			hung.NextCall(t)
+			link, _ := requestSnapshot(t, s.upgrade.stateDir)
+			lock, err := handover.LockStateDir(s.upgrade.stateDir)
+			if lock == nil || err != nil {
+				t.Fatalf("the lock is not free after the hand-over: %v", err)
+			}
+			defer lock.Close()
+			if draining {
+				s.stop()
+				for !s.server.IsDraining() {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			link.Close()
+			diedAt := time.Now()
+			for attempts.inFlight("out") > 0 {
+				if time.Since(diedAt) > nextStart {
+					t.Fatalf("the call is in flight %v after the successor's death", nextStart)
+				}
+				time.Sleep(time.Millisecond)
+			}
+			s.stop()
+			if err := st.Receive(t, s.done); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// attemptCounter notes which attempts an endpoint has in flight. It is safe for concurrent use.
+type attemptCounter struct {
+	mu       sync.Mutex
+	attempts map[string][]attemptSpan // by message ID
+}
+
+// attemptSpan is the time of one attempt. until is zero while it is in flight.
+type attemptSpan struct{ from, until time.Time }
+
+func newAttemptCounter() *attemptCounter {
+	return &attemptCounter{attempts: map[string][]attemptSpan{}}
+}
+
+// neverAnswer is a handler that answers no call, and notes when the peer ends it.
+func (a *attemptCounter) neverAnswer(call st.Call, conn net.Conn) bool {
+	a.mu.Lock()
+	attempt := len(a.attempts[call.ID])
+	a.attempts[call.ID] = append(a.attempts[call.ID], attemptSpan{from: time.Now()})
+	a.mu.Unlock()
+	keepOpen := st.NeverAnswer(call, conn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attempts[call.ID][attempt].until = time.Now()
+	return keepOpen
+}
+
+// inFlight returns how many attempts of a message are in flight.
+func (a *attemptCounter) inFlight(id string) (count int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, span := range a.attempts[id] {
+		if span.until.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// longestOverlap returns for how long at most an attempt was in flight when another one of the same message began, and
+// the message's ID.
+func (a *attemptCounter) longestOverlap() (id string, longest time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for message, spans := range a.attempts {
+		for n, later := range spans {
+			for _, earlier := range spans[:n] {
+				until := earlier.until
+				if until.IsZero() {
+					until = time.Now()
+				}
+				if overlap := until.Sub(later.from); overlap > longest {
+					id, longest = message, overlap
+				}
+			}
+		}
+	}
+	return id, longest
+}
--- a/internal/sender/upgrade.go
+++ b/internal/sender/upgrade.go
@@ -150,16 +150,18 @@
 	_ = handover.WithSocket(u.stateDir, os.Remove) // the next owner removes it if this fails
 }
 
-// awaitLock takes the lock once the dead successor no longer holds it, and posts it. It ends with ctx.
-func (u *upgrade) awaitLock(ctx context.Context) {
-	for {
+// awaitLock takes the lock once no other process holds it, and posts it. If another process holds it at first,
+// awaitLock posts that, and goes on only if keepTrying is set. It ends with ctx.
+func (u *upgrade) awaitLock(ctx context.Context, keepTrying bool) {
+	for isFirst := true; ; isFirst = false {
 		if lock, err := u.tryLock(ctx); lock != nil || err != nil {
 			u.post(ctx, lockAcquiredEvent{lock})
 			return
 		}
-		select {
-		case <-time.After(handover.LockPollInterval):
-		case <-ctx.Done():
+		if isFirst {
+			u.post(ctx, lockHeldEvent{})
+		}
+		if !keepTrying || !retry.Wait(ctx, handover.LockPollInterval) {
 			return
 		}
 	}
