Hand over a Retry-After that a process hears while it drains

An endpoint was called 0.12 s after it had asked for a pause of 1.2 s: a process in the drain of its shutdown heard that, and the next process took over before the pause was over. Now its Retry-Afters do, without a decision.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -97,6 +97,13 @@
 	return d.actions
 }
 
+// LearnRetryAfter takes in a Retry-After without deciding anything, for a caller that carries out no more
+// actions and hands over with Snapshot.
+func (d *Dispatcher) LearnRetryAfter(now time.Duration, received RetryAfterReceived) {
+	d.startStep(max(now, d.now))
+	d.handleEvent(received)
+}
+
 func (d *Dispatcher) startStep(now time.Duration) {
 	d.now, d.nextWake, d.actions, d.newInStep = now, never, nil, 0
 	if d.startedAt == -never {
--- a/internal/sender/dispatch.go
+++ b/internal/sender/dispatch.go
@@ -14,6 +14,7 @@
 // executes them. Once the dispatcher makes no more decisions, it only writes what has been appended to the journal.
 func (s *Sender) dispatch(ctx context.Context, events []dispatch.Event) {
 	if s.dispatchStopped {
+		s.learnRetryAfters(events)
 		s.flush()
 		s.notices.deliver()
 		s.publishMetrics()
@@ -30,6 +31,22 @@
 	s.publishMetrics()
 }
 
+// learnRetryAfters passes the Retry-Afters in events to the dispatcher, which makes no more decisions: a process that
+// takes over has to heed them.
+func (s *Sender) learnRetryAfters(events []dispatch.Event) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case dispatch.RetryAfterReceived:
+			s.dispatcher.LearnRetryAfter(s.clock.Now(), e)
+		case dispatch.AttemptResult:
+			if e.RetryAfter > 0 {
+				received := dispatch.RetryAfterReceived{Endpoint: e.Endpoint, RetryAfter: e.RetryAfter}
+				s.dispatcher.LearnRetryAfter(s.clock.Now(), received)
+			}
+		}
+	}
+}
+
 // withStorageStatus prepends an event if the journal has failed or recovered since the last step. The dispatcher gets
 // it before the other events, so that it decides nothing that cannot be recorded.
 func (s *Sender) withStorageStatus(events []dispatch.Event) []dispatch.Event {
--- a/internal/sender/successorloss_test.go
+++ b/internal/sender/successorloss_test.go
@@ -250,6 +250,43 @@
 	}
 }
 
+// Guards against calls before a Retry-After is over: an endpoint sends it to a process in the drain of its shutdown,
+// and another process takes over before that ends. For the rules the two are one sender.
+func TestRetryAfterInADrainBindsTheNextProcess(t *testing.T) {
+	t.Parallel()
+	const wait = 1200 * time.Millisecond
+	release := make(chan struct{})
+	limited := st.NewEndpoint(t, func(c st.Call, conn net.Conn) bool {
+		<-release
+		return st.AnswerStatus(429, "X-RateLimit-Wait-Ms: "+strconv.FormatInt(wait.Milliseconds(), 10))(c, conn)
+	})
+	hung := st.NewEndpoint(t, st.NeverAnswer) // keeps the first process in its drain
+	agent := st.NewAgent(t, limited.Addr, hung.Addr)
+	addr, listen := platformSocket(t)
+	s := newStoppable(newTestSender(t, agent, nil))
+	s.shutdown.gracePeriod, s.shutdown.drainTimeout = 0, 3*time.Second
+	s.run(listen)
+	st.Submit(t, addr, "limited", "safe", 0, 15*time.Second)
+	limited.NextCall(t)
+	st.Submit(t, addr, "hung", "safe", 1, 15*time.Second)
+	hung.NextCall(t)
+	s.stop()
+	for !s.server.IsDraining() {
+		time.Sleep(time.Millisecond)
+	}
+	answeredAt := time.Now()
+	close(release)
+	time.Sleep(100 * time.Millisecond) // until the answer has been read
+	startProcess(t, agent, s.upgrade.stateDir, listen)
+	limited.NextCall(t)
+	if waited := time.Since(answeredAt); waited < wait {
+		t.Errorf("the endpoint is called %v after it has asked for a pause of %v", waited, wait)
+	}
+	if err := st.Receive(t, s.done); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against two attempts of a message at once where another process has taken the lock by the time that the
 // predecessor notices its successor's death: to that process the predecessor's calls are over, so they have to end.
 func TestCallsEndIfAnotherProcessOwnsTheStateAtTheSuccessorsDeath(t *testing.T) {
