Tell the answer to a call from bytes that crossed it on the connection

Some answers bring more than belongs to them, a second copy or noise straight after. On a connection that was used again at once, or where the bytes came between the last look and the write, the sender took them for the next answer: a call answered 500 counted as delivered, so its message was lost; a copy of a 503 or 429 made it send again while the call was out; half a status line kept the slot until the timeout.

Cause: whatever is read after a write counted as the answer to it.

Change: bytes that came before the other side's TCP acknowledged any byte of the call, or that were there before the write, are no answer. The connection is closed then, and the call may have run; dropped.stale counts them.

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -6,12 +6,11 @@
 	"errors"
 	"net"
 	"strings"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"onyxdyke.example/onyxdyke/internal/metrics"
+	"onyxdyke.example/onyxdyke/internal/netconn"
+	"onyxdyke.example/onyxdyke/internal/retry"
 )
 
 // MaxBody is the maximum size of the body of a call to an endpoint and of its response, in bytes (protocol).
@@ -37,9 +36,13 @@
 	DroppedUnwritten  = "unwritten"  // the call could not be written completely
 	DroppedUnread     = "unread"     // no valid head of a response was received
 	DroppedIncomplete = "incomplete" // the response is incomplete, ends the connection, or is followed by further bytes
+	DroppedStale      = "stale"      // bytes that belong to no call arrived while the call was written
 )
 
-var errResponseTooLong = errors.New("the response exceeds the maximum size")
+var (
+	errResponseTooLong = errors.New("the response exceeds the maximum size")
+	errStaleBytes      = errors.New("bytes that belong to no call arrived while the call was written")
+)
 
 // expired is a deadline that has passed: it interrupts reads and writes at once.
 var expired = time.Unix(1, 0)
@@ -54,6 +57,7 @@
 	idleFor   time.Duration // how long it was idle before the current call
 
 	// The state of the current call.
+	callBytes      int         // the length of the call
 	remainingBytes int         // how many bytes of the response may still be read
 	firstBytes     []byte      // the first bytes of the response
 	firstLineAt    time.Time   // when enough had been read to know whether the message is delivered
@@ -62,6 +66,13 @@
 	callDeadline   time.Time   // the zero time for no deadline
 }
 
+// awaitSettled waits until the connection has rested for netconn.SettleTime since its last response, or ctx ends.
+func (c *conn) awaitSettled(ctx context.Context) {
+	if rest := netconn.SettleTime - c.idleFor; c.calls > 0 && rest > 0 {
+		retry.Wait(ctx, rest)
+	}
+}
+
 // drop closes the connection with a reset, because its call is abandoned. The reset discards what was written and has
 // not been received by the other side: if the network is cut, it would be delivered when the cut ends, after the
 // message has ended.
@@ -87,9 +98,10 @@
 	c.detachContext = context.AfterFunc(ctx, func() { _ = c.SetDeadline(expired) })
 }
 
-// expectResponse resets the state of the response, after a call has been written.
-func (c *conn) expectResponse() {
+// expectResponse resets the state of the response, after a call of the given length has been written.
+func (c *conn) expectResponse(callBytes int) {
 	c.calls++
+	c.callBytes = callBytes
 	c.firstBytes, c.remainingBytes = c.firstBytes[:0], maxResponse
 }
 
@@ -101,6 +113,9 @@
 	n, err := c.Conn.Read(b[:min(len(b), c.remainingBytes)])
 	c.remainingBytes -= n
 	before := len(c.firstBytes)
+	if n > 0 && before == 0 && c.calls > 1 && c.isUnreceived() {
+		return 0, errStaleBytes
+	}
 	c.firstBytes = append(c.firstBytes, b[:min(n, len(deliveredPrefix)+1-len(c.firstBytes))]...)
 	if before < len(deliveredPrefix) && c.hasFirstLine() {
 		c.firstLineAt = time.Now()
@@ -128,17 +143,23 @@
 
 // isAcknowledged reports whether the TCP stack of the other side has acknowledged all that was written.
 func (c *conn) isAcknowledged() bool {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
+	unacknowledged, ok := netconn.UnacknowledgedBytes(c.Conn)
+	return ok && unacknowledged == 0
+}
+
+// isUnreceived reports whether the TCP stack of the other side is known not to have acknowledged any byte of the
+// current call. What arrives by then is no response to it: a response acknowledges the call.
+func (c *conn) isUnreceived() bool {
+	unacknowledged, ok := netconn.UnacknowledgedBytes(c.Conn)
+	return ok && unacknowledged >= c.callBytes
+}
+
+// hasStaleBytes reports whether bytes had arrived on a reused connection by the time that its call was written, so that
+// they belong to no call. It is called as soon as the call is written. What the other side sends behind a response may
+// cross the next call.
+func (c *conn) hasStaleBytes() bool {
+	if c.calls <= 1 || !netconn.HasUnread(c.Conn) {
 		return false
 	}
-	unacknowledged, queryErr := 0, error(nil)
-	err = raw.Control(func(fd uintptr) {
-		unacknowledged, queryErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	})
-	return err == nil && queryErr == nil && unacknowledged == 0
+	return c.isUnreceived() || netconn.ReceivedBeforeSent(c.Conn)
 }
--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return exchange{outcome: unwrittenOutcome(ctx, startCtx)}
 	}
+	c.awaitSettled(startCtx)
 	req, err := render(c.address)
 	if err != nil || startCtx.Err() != nil { // the connection is too late for this call, but a later call may use it
 		p.put(e, c)
@@ -118,12 +119,16 @@
 	}
 	req.batch.setConn(c, true)
 	p.metrics.MessagesForwarded(len(req.permits))
-	c.expectResponse()
+	c.expectResponse(len(req.text))
+	if c.hasStaleBytes() {
+		c.drop(p.metrics, DroppedStale)
+		return exchange{conn: c, outcome: unreadOutcome(ctx)}
+	}
 	response, err := readHead(c.reader) //nolint:bodyclose // the callers read its body with readBody
 	if err == nil {
 		return exchange{response: response, conn: c}
 	}
-	c.drop(p.metrics, DroppedUnread)
+	c.drop(p.metrics, unreadReason(err))
 	switch {
 	case c.isDelivered():
 		return exchange{conn: c, outcome: dispatch.Served}
@@ -133,6 +138,14 @@
 	return exchange{conn: c, outcome: unreadOutcome(ctx)}
 }
 
+// unreadReason returns the reason for which a connection is closed if no valid head of a response could be read.
+func unreadReason(err error) string {
+	if errors.Is(err, errStaleBytes) {
+		return DroppedStale
+	}
+	return DroppedUnread
+}
+
 // unwrittenOutcome returns the outcome of a call for which no connection was ready in time, or that was aborted before
 // it was written.
 func unwrittenOutcome(ctx, startCtx context.Context) dispatch.Outcome {
--- a/internal/endpoint/pool_test.go
+++ b/internal/endpoint/pool_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -137,3 +139,160 @@
 		t.Errorf("%d calls to the old address, %d to the new one", len(oldEndpoint.Calls), len(newEndpoint.Calls))
 	}
 }
+
+// crossingConn is a connection on which something happens while a call is about to be written.
+type crossingConn struct {
+	*net.TCPConn
+	beforeWrite func()
+}
+
+func (c *crossingConn) Write(b []byte) (int, error) {
+	c.beforeWrite()
+	return c.TCPConn.Write(b)
+}
+
+// awaitUnread waits until something has arrived on a connection.
+func awaitUnread(t *testing.T, c net.Conn) {
+	t.Helper()
+	for end := time.Now().Add(st.Timeout); netconn.ReadWouldBlock(c); time.Sleep(10 * time.Microsecond) {
+		if time.Now().After(end) {
+			t.Fatal("nothing arrives on the connection")
+		}
+	}
+}
+
+// Guards against an answer that is taken for that of the next call: an endpoint sends more than belongs to an answer,
+// and that crosses the next call, behind the last look at the connection. The next call may have run then, and nothing
+// else is known of it; its own answer shows that it was neither delivered nor rejected. The sender may be paused
+// between the look and the write.
+func TestExcessBytesThatCrossACallAreNotItsAnswer(t *testing.T) {
+	t.Parallel()
+	excesses := map[string]string{
+		"second copy":        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"copy of a 503":      "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+		"copy with a wait":   "HTTP/1.1 429 X\r\nX-RateLimit-Wait-Ms: 400\r\nContent-Length: 0\r\n\r\n",
+		"half a status line": "HTTP/1.1 2",
+		"noise":              "\x00\x01noise\r\n\r\n",
+	}
+	for name, excess := range excesses {
+		for _, pause := range []time.Duration{0, time.Millisecond, 30 * time.Millisecond} {
+			for _, reusedAfter := range []time.Duration{0, 400 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, paused %v, used again after %v", name, pause, reusedAfter), func(t *testing.T) {
+					t.Parallel()
+					e := newSilentSecondEndpoint(t)
+					p, target := testPool(), &Endpoint{address: e.Addr}
+					for range 3 { // the endpoint's machine acknowledges the first calls at once
+						if got := callOnce(p, target, st.Timeout, "first"); got.Outcome != dispatch.Served {
+							t.Fatalf("first call: %+v", got)
+						}
+					}
+					time.Sleep(reusedAfter)
+					idle := target.idle[0]
+					idle.Conn = &crossingConn{TCPConn: idle.Conn.(*net.TCPConn), beforeWrite: func() {
+						_, _ = io.WriteString(e.conn(), excess)
+						awaitUnread(t, idle.Conn)
+						time.Sleep(pause)
+					}}
+					got := callOnce(p, target, st.Timeout, secondBody)
+					if got.Outcome != dispatch.ConnectionBroken || got.Final || got.RetryAfter != 0 {
+						t.Errorf("second call: %+v, want one that may have run", got)
+					}
+					if len(target.idle) != 0 {
+						t.Error("the connection is kept")
+					}
+				})
+			}
+		}
+	}
+}
+
+// secondBody is the body of the call that a silentSecondEndpoint does not answer.
+const secondBody = "second"
+
+// silentSecondEndpoint is an endpoint that answers 200 to all calls but one.
+type silentSecondEndpoint struct {
+	*st.Endpoint
+	lastConn atomic.Pointer[net.Conn]
+}
+
+func newSilentSecondEndpoint(t *testing.T) *silentSecondEndpoint {
+	t.Helper()
+	e := &silentSecondEndpoint{}
+	e.Endpoint = st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+		e.lastConn.Store(&nc)
+		if c.Body == secondBody {
+			return st.NeverAnswer(c, nc)
+		}
+		return st.AnswerStatus(200)(c, nc)
+	})
+	return e
+}
+
+// conn returns the endpoint's end of the connection that carried the last call.
+func (e *silentSecondEndpoint) conn() net.Conn { return *e.lastConn.Load() }
+
+// sendUnlessCalled sends excess bytes if no call waits on a connection. It reports whether a call waits right after
+// that: then it may have done so before, and the other side cannot tell the bytes from an answer.
+func sendUnlessCalled(nc net.Conn, excess string) (hasCrossed bool) {
+	if !netconn.ReadWouldBlock(nc) {
+		return false
+	}
+	_, _ = io.WriteString(nc, excess)
+	return !netconn.ReadWouldBlock(nc)
+}
+
+// Guards against excess bytes behind an answer that are taken for the next answer, on a connection that is used again
+// at once or later: an endpoint sends them with the answer, right behind it, or a little later, if no call has arrived
+// meanwhile.
+func TestExcessBytesBehindAnAnswerAreNotTheNextAnswer(t *testing.T) {
+	t.Parallel()
+	const okay = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	send := map[string]func(nc net.Conn, excess string) (hasCrossed bool){
+		"with the answer": func(nc net.Conn, excess string) bool {
+			_, _ = io.WriteString(nc, okay+excess)
+			return false
+		},
+		"right behind it": func(nc net.Conn, excess string) bool {
+			_, _ = io.WriteString(nc, okay)
+			return sendUnlessCalled(nc, excess)
+		},
+		"a little later": func(nc net.Conn, excess string) bool {
+			_, _ = io.WriteString(nc, okay)
+			time.Sleep(500 * time.Microsecond)
+			return sendUnlessCalled(nc, excess)
+		},
+	}
+	for name, answer := range send {
+		for _, excess := range []string{okay, "noise", "\r\n"} {
+			for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %.5q, used again after %v", name, excess, pause), func(t *testing.T) {
+					t.Parallel()
+					var hasCrossed atomic.Bool // the last call may have waited already when the excess bytes were sent
+					e := st.NewEndpoint(t, func(c st.Call, nc net.Conn) bool {
+						if c.Body == "error" {
+							return st.AnswerStatus(500)(c, nc)
+						}
+						hasCrossed.Store(answer(nc, excess))
+						return true
+					})
+					p, target := testPool(), &Endpoint{address: e.Addr}
+					for range 100 {
+						if got := callOnce(p, target, st.Timeout, "served"); got.Outcome != dispatch.Served {
+							t.Fatalf("a call that is answered 200: %+v", got)
+						}
+						time.Sleep(pause)
+						got := callOnce(p, target, st.Timeout, "error")
+						// The bytes may cross a call; then it is one that may have run, as its answer says.
+						if got.Outcome == dispatch.Errored || got.Outcome == dispatch.ConnectionBroken {
+							continue
+						}
+						time.Sleep(50 * time.Millisecond) // until the endpoint has looked
+						if !hasCrossed.Load() {
+							t.Fatalf("a call that is answered 500: %+v", got)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/netconn/netconn_test.go
+++ b/internal/netconn/netconn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // connect returns both ends of a TCP connection.
@@ -108,3 +109,64 @@
 		t.Error("ReadWouldBlock returned false for a pipe")
 	}
 }
+
+// Guards against a response that is taken for a stale one, or the reverse: what arrives before the other side has
+// received anything is known to be no response, and what arrives after that is not taken for stale.
+func TestOrderOfSendingAndReceiving(t *testing.T) {
+	local, remote := connect(t)
+	if HasUnread(local) {
+		t.Error("there is something to read on a new connection")
+	}
+	for _, first := range []net.Conn{remote, local} { // the one that writes first
+		second := map[net.Conn]net.Conn{remote: local, local: remote}[first]
+		const pause = 30 * time.Millisecond // above the resolution of the system
+		if _, err := first.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		awaitArrival(t, second)
+		time.Sleep(pause)
+		if _, err := second.Write([]byte("y")); err != nil {
+			t.Fatal(err)
+		}
+		awaitArrival(t, first)
+		if got, want := ReceivedBeforeSent(local), first == remote; got != want {
+			t.Errorf("received before sent: %v, want %v", got, want)
+		}
+		if !HasUnread(local) {
+			t.Error("there is nothing to read")
+		}
+		for _, c := range []net.Conn{local, remote} {
+			if _, err := c.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(pause)
+	}
+	_ = remote.Close()
+	awaitArrival(t, local)
+	if HasUnread(local) {
+		t.Error("the end of a connection is taken for something to read")
+	}
+}
+
+// Guards against bytes that count as unacknowledged although the other side has answered them: an answer acknowledges.
+func TestAnAnswerAcknowledges(t *testing.T) {
+	local, remote := connect(t)
+	for range 100 {
+		if _, err := local.Write([]byte("call")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := remote.Read(make([]byte, 8)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := remote.Write([]byte("answer")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := local.Read(make([]byte, 8)); err != nil {
+			t.Fatal(err)
+		}
+		if count, ok := UnacknowledgedBytes(local); count != 0 || !ok {
+			t.Fatalf("%d bytes are unacknowledged behind an answer, %v", count, ok)
+		}
+	}
+}
