Count notices as accepted only by the answer to their own post

A notice was lost where the platform sent more than its answer to the one before: a second copy of the 204 counted as the answer to the next post, which the platform had rejected or never got. http.Transport lends a connection again before it has looked behind the answer, and takes what comes after that for the next one.

Change: a post whose connection has unread bytes when it is written, or that is answered before any byte of it is acknowledged, has failed and is made again on a new connection, which does no harm. Calls for the list need no change: a copy has a known version, and noise ends the watch.

--- a/internal/discovery/noticeconn.go
+++ b/internal/discovery/noticeconn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"onyxdyke.example/onyxdyke/internal/netconn"
+	"onyxdyke.example/onyxdyke/internal/retry"
 )
 
 const (
@@ -26,6 +27,9 @@
 // than 204.
 var errNoticesNotAccepted = errors.New("the platform did not accept the notices")
 
+// errStaleBytes is returned if what has arrived on a connection is no answer to the call that has been written on it.
+var errStaleBytes = errors.New("bytes that belong to no call arrived while the call was written")
+
 // expired is a deadline that has passed: it interrupts reads and writes at once.
 var expired = time.Unix(1, 0)
 
@@ -41,6 +45,7 @@
 	address  string
 	response *io.LimitedReader // bounds the response to the current call
 	reader   *bufio.Reader     // reads from response
+	usedAt   time.Time         // when the last call was answered; the zero time if there was none
 }
 
 // newNoticeConn returns a noticeConn on an open connection to an address.
@@ -56,6 +61,7 @@
 		_ = c.SetDeadline(deadline) // if it fails, the write or the read fails as well
 	}
 	detach := context.AfterFunc(ctx, func() { _ = c.SetDeadline(expired) })
+	c.awaitSettled(ctx)
 	status, isComplete, err := c.roundTrip(lines)
 	isReusable = detach() && isComplete
 	switch {
@@ -78,6 +84,9 @@
 		return 0, false, err
 	}
 	c.response.N = maxNoticeResponse
+	if err := c.awaitResponse(len(text)); err != nil {
+		return 0, false, err
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return 0, false, err
@@ -85,9 +94,34 @@
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
 	isComplete = err == nil && !response.Close && c.reader.Buffered() == 0
+	c.usedAt = time.Now()
 	return response.StatusCode, isComplete, nil
 }
 
+// awaitSettled waits until the connection has rested for netconn.SettleTime since its last answer, or ctx ends.
+func (c *noticeConn) awaitSettled(ctx context.Context) {
+	if rest := netconn.SettleTime - time.Since(c.usedAt); rest > 0 {
+		retry.Wait(ctx, rest)
+	}
+}
+
+// awaitResponse waits until something arrives after a call has been written. It returns errStaleBytes if that is no
+// answer to the call: because it is there already, or because the platform has not acknowledged the call yet. In doubt
+// the notices are posted once more, which does no harm, while one that is wrongly taken for accepted would be lost.
+func (c *noticeConn) awaitResponse(callBytes int) error {
+	isReused := !c.usedAt.IsZero()
+	if isReused && netconn.HasUnread(c.Conn) {
+		return errStaleBytes
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
+	}
+	if unacknowledged, ok := netconn.UnacknowledgedBytes(c.Conn); isReused && ok && unacknowledged >= callBytes {
+		return errStaleBytes
+	}
+	return nil
+}
+
 // renderNotices returns the text of a call with notices.
 func renderNotices(address string, lines []byte) ([]byte, error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+noticesPath, bytes.NewReader(lines))
