Play silent agent connections, excess bytes and killed successors in the soak

The short soak of them keeps its files in memory: on this machine's disk 13 upgrades at once stalled all processes for 0.5 s, before the change and after.

--- a/internal/emulator/agent.go
+++ b/internal/emulator/agent.go
@@ -45,6 +45,7 @@
 	silent              bool
 	missedChanges       []Server // changes that happened while the agent was silent
 	watchLosses         int      // requests that began before the last loss are never answered
+	listeners           []*silenceableListener
 }
 
 // NewAgent returns an agent whose list holds some servers, as version 1. It serves no address before Listen.
@@ -88,9 +89,13 @@
 		server:   &http.Server{Handler: mux},
 		served:   make(chan struct{}),
 	}
+	silenceable := newSilenceableListener(listener)
+	a.mu.Lock()
+	a.listeners = append(a.listeners, silenceable)
+	a.mu.Unlock()
 	go func() {
 		defer close(s.served)
-		_ = s.server.Serve(listener) // returns an error whenever the listener is closed
+		_ = s.server.Serve(silenceable) // returns an error whenever the listener is closed
 	}()
 	return s, nil
 }
@@ -194,6 +199,16 @@
 	a.wakeWatches()
 }
 
+// SilenceConnections makes the connections that are open to the agent fall silent: they stay open, and neither requests
+// nor answers pass on them. New connections work, so changes take effect as usual, and notices can be delivered.
+func (a *Agent) SilenceConnections() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, listener := range a.listeners {
+		listener.silence()
+	}
+}
+
 // AddressMoved starts the grace period in which changes do not take effect yet, because the sender has to learn them at
 // the agent's new address. Further moves in that period do not extend it.
 func (a *Agent) AddressMoved() {
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -26,6 +26,7 @@
 	RateLimiting           // answers 429 with a time to wait
 	Resetting              // resets the connection once it has read a complete call
 	Malformed              // sends answers that cannot be parsed or are never complete
+	Excessive              // delivers, and sends a second copy of the answer or noise behind it
 )
 
 const (
@@ -218,7 +219,8 @@
 // calls.
 func (e *Endpoint) answer(conn net.Conn, r *bufio.Reader, call *endpointCall) bool {
 	noAnswer := AttemptEnd{MayHaveRun: true}
-	switch e.behaviour() {
+	behaviour := e.behaviour()
+	switch behaviour {
 	case Hanging:
 		awaitClose(conn, r)
 		e.endAttempts(call, noAnswer)
@@ -247,7 +249,11 @@
 	if call.isBatch {
 		body = batchAnswer(call.entries)
 	}
-	return e.reply(conn, call, AttemptEnd{Status: http.StatusOK, MayHaveRun: true}, body)
+	delivered := AttemptEnd{Status: http.StatusOK, MayHaveRun: true}
+	if behaviour == Excessive {
+		return e.replyWithExcess(conn, r, call, delivered, body)
+	}
+	return e.reply(conn, call, delivered, body)
 }
 
 // answerMalformed sends one of several answers that violate HTTP, chosen by the message's ID. Whichever it sends, the
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -41,6 +42,10 @@
 	ConnectFails          FaultKind = "connect fails"
 	OpenFails             FaultKind = "open fails"
 	ConnectionFlood       FaultKind = "connection floods"
+
+	AgentConnectionsSilent FaultKind = "agent connections fall silent"
+	EndpointsExcess        FaultKind = "endpoints send excess bytes"
+	SuccessorsKilled       FaultKind = "successors are killed"
 )
 
 // AllFaultKinds are the kinds from which a plan is drawn by default. Plans are drawn by shuffling this list, so its
@@ -53,6 +58,10 @@
 	AcceptFails, ConnectFails, OpenFails, ConnectionFlood,
 }
 
+// SelectableFaultKinds are further kinds, which a plan holds only where they are asked for: a kind more in
+// AllFaultKinds would change the plans of all seeds.
+var SelectableFaultKinds = []FaultKind{AgentConnectionsSilent, EndpointsExcess, SuccessorsKilled}
+
 // formerKindNames maps the former names of kinds in soak's options to the kinds. They are still accepted, because
 // write-ups of earlier runs quote them.
 var formerKindNames = map[string]FaultKind{
@@ -72,7 +81,8 @@
 
 // ParseFaultKind returns the kind with a name, which may be a former one.
 func ParseFaultKind(name string) (FaultKind, error) {
-	for _, kind := range AllFaultKinds {
+	known := slices.Concat(AllFaultKinds, SelectableFaultKinds)
+	for _, kind := range known {
 		if string(kind) == name {
 			return kind, nil
 		}
@@ -80,7 +90,7 @@
 	if kind, found := formerKindNames[name]; found {
 		return kind, nil
 	}
-	return "", fmt.Errorf("unknown kind of fault %q; the kinds are %v", name, AllFaultKinds)
+	return "", fmt.Errorf("unknown kind of fault %q; the kinds are %v", name, known)
 }
 
 // shimKindOf holds the shim that injects a kind of fault into a sender's own process.
@@ -103,6 +113,7 @@
 	EndpointsRateLimit:   RateLimiting,
 	EndpointsReset:       Resetting,
 	EndpointsMalformed:   Malformed,
+	EndpointsExcess:      Excessive,
 }
 
 // linkFaultOf holds the fault of the links between the affected senders and all endpoints during a kind of fault.
--- a/internal/emulator/injection.go
+++ b/internal/emulator/injection.go
@@ -59,8 +59,8 @@
 			r.sleepUntil(f.Until)
 			r.agents[i].SetSilent(false)
 		})
-	case WatchesLost:
-		r.forEachSender(f, func(i int) { r.agents[i].LoseWatches() })
+	case WatchesLost, AgentConnectionsSilent:
+		r.forEachSender(f, func(i int) { r.loseAnswers(i, f.Kind) })
 	case EndpointsReplaced:
 		r.recordError(r.replaceEndpoints(f))
 	case SendersTerminated:
@@ -72,7 +72,9 @@
 	case ConnectionFlood:
 		r.forEachSender(f, func(i int) { r.clients[i].flood(r.processes[i].Addr, f.Until) })
 	case SendersUpgraded:
-		r.forEachSender(f, r.upgrade)
+		r.forEachSender(f, func(i int) { r.upgrade(i, r.processes[i].Upgrade) })
+	case SuccessorsKilled:
+		r.forEachSender(f, func(i int) { r.upgradeAndLose(i, f.signalRandom(r.Seed, i)) })
 	case SendersKilledAtAnswer:
 		r.forEachSender(f, func(i int) { r.killAtAnswer(i, f.Until) })
 	case DescriptorsExhausted:
@@ -82,6 +84,15 @@
 	}
 }
 
+// loseAnswers makes an agent lose its answers to the open watches, or all that passes on its open connections.
+func (r *runner) loseAnswers(sender int, kind FaultKind) {
+	if kind == WatchesLost {
+		r.agents[sender].LoseWatches()
+	} else {
+		r.agents[sender].SilenceConnections()
+	}
+}
+
 // restart stops a sender's process and starts the next one, unless a restart or an upgrade is in progress already.
 func (r *runner) restart(sender int, stop func() error) {
 	if !r.restartLocks[sender].TryLock() {
@@ -146,9 +157,17 @@
 	})
 }
 
-// upgrade starts a sender's next process while the current one still runs, and then stops the latter. It does nothing
-// if the sender's processes are not passed a socket, or if a restart or an upgrade is in progress already.
-func (r *runner) upgrade(sender int) {
+// upgradeAndLose upgrades a sender and kills the new process while the old one shuts down. The next one starts after
+// that.
+func (r *runner) upgradeAndLose(sender int, random *rand.Rand) {
+	lifetime := time.Duration(random.Int64N(int64(killAfter)))
+	r.upgrade(sender, func() error { return r.processes[sender].UpgradeAndLose(lifetime) })
+}
+
+// upgrade carries out an upgrade, which starts a sender's next process while the current one still runs, and then stops
+// the latter. It does nothing if the sender's processes are not passed a socket, or if a restart or an upgrade is in
+// progress already.
+func (r *runner) upgrade(sender int, carryOut func() error) {
 	if !r.processes[sender].passesSocket() || !r.restartLocks[sender].TryLock() {
 		return
 	}
@@ -162,7 +181,7 @@
 		defer clientLoop.Done()
 		r.clients[sender].UseIdleConnections(ctx)
 	}()
-	r.recordError(r.processes[sender].Upgrade())
+	r.recordError(carryOut())
 	cancel()
 	clientLoop.Wait()
 }
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -27,7 +27,10 @@
 // messages is delivered, as such a run shows little.
 func runAndCheck(t *testing.T, o Options) *Report {
 	t.Helper()
-	o.Senders, o.Destinations, o.Rate, o.Directory = testSenders, 5, 8, t.TempDir()
+	o.Senders, o.Destinations, o.Rate = testSenders, 5, 8
+	if o.Directory == "" {
+		o.Directory = t.TempDir()
+	}
 	o.Command = Command{Path: os.Args[0], Env: []string{senderVariable + "=1", "GORACE=atexit_sleep_ms=0"}}
 	o.Tolerance = 250 * time.Millisecond // for other tests that run at the same time, and for the race detector
 	report, err := Run(o)
@@ -65,3 +68,31 @@
 		})
 	}
 }
+
+// Guards against messages that are lost or in two calls at once where endpoints send more than their answers, where the
+// connections to the agents fall silent, and where the new processes of upgrades are killed, beside hanging endpoints
+// and kills.
+func TestSoakOfTheReviewsFaults(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{437, 449} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			kinds := append([]FaultKind{EndpointsHang, SendersKilled, SendersUpgraded}, SelectableFaultKinds...)
+			runAndCheck(t, Options{
+				Seed: seed, LoadDuration: 12 * time.Second, FaultKinds: kinds, Directory: memoryDirectory(t),
+			})
+		})
+	}
+}
+
+// memoryDirectory returns a directory in memory where the machine has one, as a disk may stall all processes for longer
+// than a client waits when many of them start at the same time.
+func memoryDirectory(t *testing.T) string {
+	t.Helper()
+	directory, err := os.MkdirTemp("/dev/shm", "soak")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(directory) }) // what cannot be removed stays
+	return directory
+}
