Keep the posts of notices in flight within the reserved descriptors

With a post every 100 ms and 500 ms for each, six could be in flight while an agent is silent, which together with the reserved connections and hedged calls came to 29 descriptors at worst, where 28 are set aside. One every 150 ms makes it four, and 27. Counted, not forced. The tests of the notices pass five times with the race detector.

--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -17,7 +17,7 @@
 	// become unresponsive. So a post that is not answered within overdueDelay is followed by one on a new connection,
 	// and while posts remain unanswered another one follows every overdueInterval.
 	overdueDelay    = 50 * time.Millisecond
-	overdueInterval = 100 * time.Millisecond
+	overdueInterval = 150 * time.Millisecond
 	// postTimeout bounds a post. One that is overdue continues until then, because the platform may only be slow.
 	postTimeout = 500 * time.Millisecond
 	// The pause after a post that has failed doubles up to maxNoticeBackoff. It is short because the agent is on this
