--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -69,7 +69,7 @@
 	set.DurationVar(&c.options.LoadDuration, "load", 20*time.Second, "how long messages are submitted")
 	set.BoolVar(&c.options.PollsEndpointList, "on-request", false, "endpoint lists are polled instead of pushed")
 	set.DurationVar(&c.options.Tolerance, "tolerance", 150*time.Millisecond, "allowance for delays of the machine")
-	set.StringSliceVar(&faults, "faults", nil, "kinds of faults to choose from; if empty, all but those that plans hold only by name")
+	set.StringSliceVar(&faults, "faults", nil, "kinds of faults to choose from; if empty, the default ones")
 	set.StringVar(&c.directory, "folder", "", "directory for states and logs; if empty, they are removed after the run")
 	set.BoolVar(&c.verbose, "verbose", false, "print the plan of faults")
 	set.SetNormalizeFunc(currentFlagName)
--- a/internal/handover/descriptors.go
+++ b/internal/handover/descriptors.go
@@ -1,12 +1,12 @@
 package handover
 
 import (
-	"errors"
 	"net"
 	"os"
-	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"onyxdyke.example/onyxdyke/internal/netconn"
 )
 
 // Connections are passed to the other process as file descriptors in control messages (SCM_RIGHTS) that accompany the
@@ -16,8 +16,6 @@
 // maxPassedConnections is the maximum number of connections that are passed with one packet.
 const maxPassedConnections = 8
 
-var errNoDescriptor = errors.New("the connection has no file descriptor")
-
 // descriptorConn is the Unix connection of a link, together with the descriptors that are passed on it. One goroutine
 // may read and one may write at a time.
 type descriptorConn struct {
@@ -52,19 +50,9 @@
 	if len(conns) == 0 {
 		return use(descriptors)
 	}
-	conn, ok := conns[0].(syscall.Conn)
-	if !ok {
-		return errNoDescriptor
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var useErr error
-	err = raw.Control(func(fd uintptr) {
-		useErr = withDescriptors(conns[1:], append(descriptors, int(fd)), use)
+	return netconn.WithDescriptor(conns[0], func(fd int) error {
+		return withDescriptors(conns[1:], append(descriptors, fd), use)
 	})
-	return errors.Join(err, useErr)
 }
 
 // Read reads bytes and stores the descriptors that are received with them.
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -36,7 +36,7 @@
 
 // peek returns how many bytes can be read from a connection, at most 1; 0 without an error if it has ended.
 func peek(c net.Conn) (count int, err error) {
-	err = control(c, func(fd int) (err error) {
+	err = WithDescriptor(c, func(fd int) (err error) {
 		var first [1]byte
 		count, _, err = syscall.Recvfrom(fd, first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return err
@@ -47,7 +47,7 @@
 // UnacknowledgedBytes returns how many of the bytes that were written to a connection the TCP stack of the other side
 // has not acknowledged yet. It reports false if the system does not tell.
 func UnacknowledgedBytes(c net.Conn) (count int, ok bool) {
-	err := control(c, func(fd int) (err error) {
+	err := WithDescriptor(c, func(fd int) (err error) {
 		count, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
 		return err
 	})
@@ -59,7 +59,7 @@
 // not tell.
 func ReceivedBeforeSent(c net.Conn) bool {
 	var info *unix.TCPInfo
-	err := control(c, func(fd int) (err error) {
+	err := WithDescriptor(c, func(fd int) (err error) {
 		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		return err
 	})
@@ -68,9 +68,9 @@
 
 var errNoDescriptor = errors.New("the connection has no file descriptor")
 
-// control calls use with a connection's descriptor, which is not closed meanwhile. RawConn.Read would wait for a
-// concurrent reader.
-func control(c net.Conn, use func(fd int) error) error {
+// WithDescriptor calls use with a connection's descriptor, which is not closed meanwhile, and returns the error of use.
+// It does not wait for a concurrent reader, as RawConn.Read would.
+func WithDescriptor(c net.Conn, use func(fd int) error) error {
 	conn, ok := c.(syscall.Conn)
 	if !ok {
 		return errNoDescriptor
--- a/internal/sender/notices_test.go
+++ b/internal/sender/notices_test.go
@@ -183,11 +183,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			agent := st.NewAgent(t)
-			proxy := st.NewProxy(t, agent.Addr)
-			agent.Addr = proxy.Addr
-			addr := startSender(t, agent, nil)
-			time.Sleep(100 * time.Millisecond) // until the connections in reserve are open
+			agent, proxy, addr := startSenderBehindProxy(t)
 			began := time.Now()
 			deadlines := submitExpiring(t, addr, began.Add(firstDeadline), interval, messages)
 			go func() {
@@ -209,11 +205,7 @@
 	for _, silence := range []time.Duration{900 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second} {
 		t.Run(silence.String(), func(t *testing.T) {
 			t.Parallel()
-			agent := st.NewAgent(t)
-			proxy := st.NewProxy(t, agent.Addr)
-			agent.Addr = proxy.Addr
-			addr := startSender(t, agent, nil)
-			time.Sleep(100 * time.Millisecond) // until the connections in reserve are open
+			agent, proxy, addr := startSenderBehindProxy(t)
 			proxy.SetSilent(true)
 			ends := time.Now().Add(silence)
 			st.Submit(t, addr, "early", "safe", 5, 50*time.Millisecond)
@@ -225,6 +217,18 @@
 	}
 }
 
+// startSenderBehindProxy starts a sender whose connections to its agent pass through a proxy, and waits until those in
+// reserve are open.
+func startSenderBehindProxy(t *testing.T) (agent *st.Agent, proxy *st.Proxy, addr string) {
+	t.Helper()
+	agent = st.NewAgent(t)
+	proxy = st.NewProxy(t, agent.Addr)
+	agent.Addr = proxy.Addr
+	addr = startSender(t, agent, nil)
+	time.Sleep(100 * time.Millisecond)
+	return agent, proxy, addr
+}
+
 // submitExpiring submits messages that no endpoint takes, whose deadlines are spaced evenly from the first one on, and
 // returns the deadlines by message ID.
 func submitExpiring(
