--- a/internal/sender/successorloss_test.go
+++ b/internal/sender/successorloss_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"onyxdyke.example/onyxdyke/internal/config"
 	"onyxdyke.example/onyxdyke/internal/handover"
 	st "onyxdyke.example/onyxdyke/internal/sendertest"
 )
@@ -287,6 +288,35 @@
 	}
 }
 
+// Guards against calls before a Retry-After is over: the successor hears it and dies, and the predecessor serves again.
+// For the rules the two are one sender.
+func TestRetryAfterHeardByADeadSuccessorBinds(t *testing.T) {
+	t.Parallel()
+	const wait = 1200 * time.Millisecond
+	waitHeader := "X-RateLimit-Wait-Ms: " + strconv.FormatInt(wait.Milliseconds(), 10)
+	limited := st.NewEndpoint(t, st.AnswerStatus(429, waitHeader))
+	agent := st.NewAgent(t, limited.Addr)
+	addr, listen := platformSocket(t)
+	state, admin := t.TempDir(), freeAddress(t)
+	startProcess(t, agent, state, listen)
+	successor := newStoppable(newTestSender(t, agent, func(c *config.Config) { c.State, c.Admin = state, admin }))
+	successor.run(listen)
+	awaitHealth(t, admin, "ok\n")
+	st.Submit(t, addr, "limited", "safe", 0, 15*time.Second)
+	limited.NextCall(t)
+	answeredAt := time.Now()
+	time.Sleep(50 * time.Millisecond) // until the answer has been read
+	successor.stop()
+	if err := st.Receive(t, successor.done); err != nil {
+		t.Error(err)
+	}
+	successor.upgrade.predecessor.Close() // as the end of its process does
+	limited.NextCall(t)
+	if waited := time.Since(answeredAt); waited < wait {
+		t.Errorf("the endpoint is called %v after it has asked for a pause of %v", waited, wait)
+	}
+}
+
 // Guards against two attempts of a message at once where another process has taken the lock by the time that the
 // predecessor notices its successor's death: to that process the predecessor's calls are over, so they have to end.
 func TestCallsEndIfAnotherProcessOwnsTheStateAtTheSuccessorsDeath(t *testing.T) {
