--- a/review/rig2/upgrade.go
+++ b/review/rig2/upgrade.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	upgradeMemoryMB = 32  // terms: 32 to 192 MB
-	upgradeSockets  = 256 // terms: 256 to 1,024 descriptors
+	upgradeMemoryMB = 64  // as on the reported days; terms: 32 to 192 MB
+	upgradeSockets  = 384 // as on the reported days; terms: 256 to 1,024 descriptors
 
-	upgradePeers    = 300                   // bad clients at a time; thousands in all
+	upgradePeers    = 600                   // bad clients at a time; thousands in all
 	upgradePeerBody = 65_000                // of 65,536
 	upgradeLoad     = 60 * time.Millisecond // between two messages
 	upgradeFor      = 5 * time.Second       // from the new process's start on
