Add review case 7: a process two owners behind takes the lock and sends again

Three upgrades, A to B to C to D, within the time after A's SIGTERM; B is killed after C's yes. A polls the lock from then on and takes it between C's hand-over and D. It sends messages that C has out on open connections.

--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +30,9 @@
 	status int
 	waitMS int  // with X-RateLimit-Wait-Ms
 	close  bool // it closes the connection with the answer
+
+	whileOpen bool   // it drops the call when the sender closes the connection
+	ended     func() // is called when the call is over; may be nil
 }
 
 // endpoint stands in for an endpoint of a destination.
@@ -107,11 +112,19 @@
 // respond answers a call, and reports whether the connection stays open.
 func (e *endpoint) respond(conn net.Conn, reader *bufio.Reader, c *call) bool {
 	a := e.handle(c)
+	if a.ended != nil {
+		defer a.ended()
+	}
+	if a.whileOpen && !staysOpen(conn, reader, a.after) {
+		return false
+	}
 	if a.never {
 		_, _ = reader.Peek(1) // until the sender ends the call
 		return false
 	}
-	time.Sleep(a.after)
+	if !a.whileOpen {
+		time.Sleep(a.after)
+	}
 	var text strings.Builder
 	body := ""
 	if c.batch && a.status == http.StatusOK {
@@ -148,6 +161,14 @@
 	return !a.close
 }
 
+// staysOpen waits, and reports whether the sender has kept the connection open.
+func staysOpen(conn net.Conn, reader *bufio.Reader, wait time.Duration) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(wait))
+	_, err := reader.Peek(1)
+	_ = conn.SetReadDeadline(time.Time{})
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // deliveredAt returns when a message was delivered here.
 func (e *endpoint) deliveredAt(id string) (time.Time, bool) {
 	e.mu.Lock()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -55,6 +55,7 @@
 	"refused-list": playRefusedList,
 	"silent-watch": playSilentWatch,
 	"upgrade":      playUpgradeInCrowd,
+	"stale-owner":  playStaleOwner,
 }
 
 func main() {
