Add review case 8: bad clients that stop half way in a second request keep clients out

300 bad clients at a time send GET /, read the 404 and stop half way in their next request. No other client gets an answer meanwhile, in four hand-ins over 4 s.

Cause, as far as known: internal/ingress/connections.go, evictPartial: a connection that has had a response is never evicted in a later request. 128 slots, taken for 2 s each, let in 64 peers a second.

--- a/review/rig2/crowd.go
+++ b/review/rig2/crowd.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -71,9 +72,15 @@
 	}
 }
 
-// playCrowd lets a crowd of bad clients come, each of which sends much at once and goes. The other clients' messages
-// have to be answered.
-func playCrowd(r *rig) ([]string, error) {
+// playCrowd lets a crowd of bad clients come, each of which sends much at once and goes.
+func playCrowd(r *rig) ([]string, error) { return playBesideCrowd(r, sendCrowd) }
+
+// playHalfWay lets a crowd of bad clients come, each of which stops half way in its second request.
+func playHalfWay(r *rig) ([]string, error) { return playBesideCrowd(r, stopHalfWay) }
+
+// playBesideCrowd lets a crowd of bad clients come to an address, which returns how many have come. The other clients'
+// messages have to be answered.
+func playBesideCrowd(r *rig, sendCrowd func(addr string) int) ([]string, error) {
 	s, _, err := r.newSender(2, false, serveSoon)
 	if err != nil {
 		return nil, err
@@ -138,6 +145,50 @@
 	return int(came.Load())
 }
 
+// halfWayPeers is how many bad clients that stop half way there are at a time.
+const halfWayPeers = 300
+
+// stopHalfWay lets bad clients come. Each sends a request for a page that is not there, reads the error, sends the
+// first half of a request and rests until the sender closes the connection; then it comes again.
+func stopHalfWay(addr string) int {
+	var came atomic.Int64
+	var open group
+	until := time.Now().Add(crowdFor)
+	for range halfWayPeers {
+		open.run(func() {
+			for time.Now().Before(until) {
+				if stopsHalfWay(addr) {
+					came.Add(1)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	open.Wait()
+	return int(came.Load())
+}
+
+// stopsHalfWay plays one of these bad clients, for 4 s at most, and reports whether it has had its error.
+func stopsHalfWay(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, 3*time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: backend.local\r\n\r\n")
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	_, _ = io.WriteString(conn, "POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: half\r\n")
+	_, _ = io.Copy(io.Discard, reader)
+	return true
+}
+
 // badRequest returns the head of a request with a body of a length, and a part of that body.
 func badRequest(length, sent int) string {
 	return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: bad\r\nX-Class: %s\r\n"+
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -50,12 +50,14 @@
 type playCase func(r *rig) (violations []string, err error)
 
 var cases = map[string]playCase{
-	"late-accept":  playLateAccept,
-	"crowd":        playCrowd,
-	"refused-list": playRefusedList,
-	"silent-watch": playSilentWatch,
-	"upgrade":      playUpgradeInCrowd,
-	"stale-owner":  playStaleOwner,
+	"late-accept":    playLateAccept,
+	"crowd":          playCrowd,
+	"refused-list":   playRefusedList,
+	"silent-watch":   playSilentWatch,
+	"upgrade":        playUpgradeInCrowd,
+	"stale-owner":    playStaleOwner,
+	"half-way":       playHalfWay,
+	"dead-successor": playDeadSuccessor,
 }
 
 func main() {
