Bound what clients' connections hold in memory and descriptors by budgets

What callers saw: with hundreds of peers that wrote slowly, stopped half way in a body or sent heads of very many short fields, a process passed its memory limit and was killed; clients got no answers meanwhile.

Cause: nothing counted what requests hold before they are complete. net/http parses heads while they arrive with any number of fields and keeps buffers for each connection, bodies were read into growing buffers while their rest did not come, and the garbage collector's limit bounds nothing that is in use. Slots of peers that stop in a later request or do not read were never freed.

Change: the clients' connections are served by code of our own with the same handlers. Heads are bounded to 16 KiB and 100 lines and parsed when complete; larger heads and bodies take their memory from a budget first, bodies only when they have arrived. Slots are 2/5 of the descriptors, so that two processes fit; evictions free several slots at a time, and also those of later requests and of responses that are not read. An evicted request is answered 503 instead of 400, as it had no effect: TestEvictedIncompleteRequestIsAnswered asks for just that now. The tests of evictions are rewritten for the new table; one of them no longer depends on how long the test itself stands still. A test that needs four slots asks for 10 descriptors instead of 8, as the division has changed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,38 +45,6 @@
 	document any // the decoded file, which Reload compares with the next one
 }
 
-// File descriptors are divided so that all uses fit even when each is at its maximum: connections to the clients' port
-// get half (clients use a third, and the rest is for peers that connect without being proper clients), operators get a
-// small part, ReservedDescriptors are set aside, and calls get the rest. Idle connections to endpoints use the part of
-// the rest that calls leave over.
-const (
-	// AdminConnectionLimit is the maximum number of operators' connections. With few descriptors there are fewer.
-	AdminConnectionLimit = 64
-	// ReservedDescriptors is the number of descriptors for the standard streams, the poller, listeners, the lock, the
-	// journal, discovery with its hedged calls and reserved connections, the reserve of accept, and a successor.
-	ReservedDescriptors = 28
-
-	adminDivisor           = 12 // operators get at most 1/12 of the descriptors
-	idleDivisor            = 4  // idle connections to endpoints get at most 1/4 of the descriptors
-	minAdminConnections    = 4
-	minClientConnections   = 2
-	minEndpointConnections = 1
-)
-
-// MaxClientConnections returns the maximum number of concurrent client connections.
-func (l Limits) MaxClientConnections() int { return max(minClientConnections, l.Sockets/2) }
-
-// MaxAdminConnections returns the maximum number of concurrent operators' connections.
-func (l Limits) MaxAdminConnections() int {
-	return max(minAdminConnections, min(AdminConnectionLimit, l.Sockets/adminDivisor))
-}
-
-// MaxEndpointConnections returns the maximum number of concurrent connections to endpoints, idle ones included.
-func (l Limits) MaxEndpointConnections() int {
-	free := l.Sockets - l.MaxClientConnections() - l.MaxAdminConnections() - ReservedDescriptors
-	return max(minEndpointConnections, free)
-}
-
 // MaxIdleConnections returns the maximum number of idle connections to endpoints that are kept.
 func (c *Config) MaxIdleConnections() int {
 	unused := c.Limits.MaxEndpointConnections() - c.Settings.MaxConcurrentCalls
--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -32,8 +32,8 @@
 // The reasons for which a client's connection is closed. They are counted in the metrics.
 const (
 	ClosedShutdown       = "leaving"       // the process stops
-	ClosedEvictedIdle    = "room"          // it was idle, and another connection needs its slot or descriptor
-	ClosedEvictedPartial = "room_half"     // its first request was incomplete, and another needs its slot or descriptor
+	ClosedEvicted        = "room"          // it had no incomplete request, and another needs its slot or descriptor
+	ClosedEvictedPartial = "room_half"     // its request was incomplete, and what it held is needed
 	ClosedOther          = "client_or_end" // by the client, a time limit, or after a response that ends the connection
 )
 
@@ -44,16 +44,22 @@
 // by the code that closes it.
 type clientConn struct {
 	net.Conn
-	openedAt       time.Time    // when it was established
-	firstRequestBy time.Time    // when its first request has to be complete; the zero time for no limit
-	releaseSlot    func()       // frees its slot in the listener
-	skipsLinger    *atomic.Bool // the listener's: Close does not wait for the client to read its response
+	openedAt       time.Time // when it was established
+	firstRequestBy time.Time // when its first request has to be complete; the zero time for no limit
+	releaseSlot    func()    // frees its slot in the listener
+	closeOnce      sync.Once
+	abortOnce      sync.Once
+	aborted        chan struct{} // closed when nothing more is read
+	heldMemory     atomic.Int64  // bytes of the memory budget that its request holds
+	skipsLinger    *atomic.Bool  // the listener's: Close does not wait for the client to read its response
 	onClose        func(*clientConn)
 	onRequestBegun func(*clientConn)
 
 	isClosingGracefully atomic.Bool // only the rest of a request that has begun is still read
 	isAborted           atomic.Bool // nothing is read any more
-	hasHandler          atomic.Bool // a handler has been called for its request
+	isEvicted           atomic.Bool // its slot, descriptor or memory is needed for another connection
+	dropsUnread         atomic.Bool // it is closed without waiting for its client to read the last response
+	isCutOff            atomic.Bool // nothing more is written either
 	hasBegun            atomic.Bool // a part of a request has been read since the last response
 	isUnanswered        atomic.Bool // a request has been read completely, and its response not begun
 	hasWritten          atomic.Bool // a response, or a part of one, has been written
@@ -61,6 +67,17 @@
 	reason              atomic.Pointer[string] // why it is closed; nil if its client or net/http closes it
 }
 
+// newClientConn returns the clientConn for a connection that was established at openedAt.
+func newClientConn(conn net.Conn, openedAt time.Time) *clientConn {
+	return &clientConn{
+		Conn:        conn,
+		openedAt:    openedAt,
+		releaseSlot: func() {},
+		skipsLinger: new(atomic.Bool),
+		aborted:     make(chan struct{}),
+	}
+}
+
 // closeReason returns the reason that is counted when the connection closes.
 func (c *clientConn) closeReason() string {
 	if reason := c.reason.Load(); reason != nil {
@@ -82,9 +99,23 @@
 // abortRequest stops reading at once, also in the middle of a request.
 func (c *clientConn) abortRequest(reason string) {
 	c.isAborted.Store(true)
+	c.abortOnce.Do(func() { close(c.aborted) })
 	c.closeGracefully(reason)
 }
 
+// dropUnread makes a connection close after the current response, although its peer may have sent more than was read.
+func (c *clientConn) dropUnread(reason string) {
+	c.dropsUnread.Store(true)
+	c.abortRequest(reason)
+}
+
+// cutOff makes a connection close at once, also while its peer does not read the response.
+func (c *clientConn) cutOff(reason string) {
+	c.isCutOff.Store(true)
+	c.dropUnread(reason)
+	_ = c.SetWriteDeadline(expired) // fails only if the connection is closed already
+}
+
 // SetReadDeadline sets the deadline for reads. For the first request it is no later than firstRequestBy.
 func (c *clientConn) SetReadDeadline(deadline time.Time) error {
 	return c.Conn.SetReadDeadline(c.limitFirstRead(deadline))
@@ -117,6 +148,25 @@
 	}
 }
 
+// awaitReadable waits until count bytes of a request can be read, or as many as the system buffers. As long as they are
+// there, they take no memory of the process. It waits for nothing where the system does not tell what has arrived.
+func (c *clientConn) awaitReadable(count int) error {
+	for {
+		if c.isClosingGracefully.Load() && !c.continueRequest() {
+			return os.ErrDeadlineExceeded
+		}
+		err := netconn.AwaitReadable(c, count)
+		if errors.Is(err, netconn.ErrNotAwaited) {
+			return nil
+		}
+		// The deadline that closeGracefully sets may have interrupted this wait in the middle of a request.
+		isTimeout := errors.Is(err, os.ErrDeadlineExceeded)
+		if !isTimeout || !c.isClosingGracefully.Load() || !c.continueRequest() {
+			return err
+		}
+	}
+}
+
 // continueRequest reports whether a connection that is being closed gracefully is still read because a request has
 // begun on it. If so, it sets the deadline for the rest of that request.
 func (c *clientConn) continueRequest() bool {
@@ -137,17 +187,37 @@
 }
 
 // Close closes the connection. A close with unread bytes would send a reset, which may destroy a response on its way.
-// So Close first shuts down the sending side and then discards for a short time what the client still sends.
-func (c *clientConn) Close() error {
-	defer c.releaseSlot()
-	if c.onClose != nil {
-		c.onClose(c)
+// So Close first shuts down the sending side and then discards for a short time what the client still sends. Further
+// calls have no effect.
+func (c *clientConn) Close() (err error) {
+	c.closeOnce.Do(func() {
+		defer c.releaseSlot()
+		if c.onClose != nil {
+			c.onClose(c)
+		}
+		if c.mustLinger() && c.CloseWrite() == nil {
+			c.discardUnread()
+		}
+		err = c.Conn.Close()
+	})
+	return err
+}
+
+// mustLinger reports whether a close has to wait for the client to read a response.
+func (c *clientConn) mustLinger() bool {
+	return c.hasWritten.Load() && !c.skipsLinger.Load() && !c.dropsUnread.Load() && !netconn.ReadWouldBlock(c.Conn)
+}
+
+// discardUnread discards what the client still sends, for a short time; for an evicted connection, whose slot is
+// needed, only what has arrived.
+func (c *clientConn) discardUnread() {
+	if c.isEvicted.Load() {
+		netconn.DiscardArrived(c.Conn, maxLingerBytes)
+		return
 	}
-	if c.hasWritten.Load() && !c.skipsLinger.Load() && !netconn.ReadWouldBlock(c.Conn) && c.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) // if it fails, the copy ends when the client closes
-		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil && !c.dropsUnread.Load() {
+		netconn.Discard(c.Conn, maxLingerBytes)
 	}
-	return c.Conn.Close()
 }
 
 // CloseWrite shuts down the sending side. net/http calls it when it has answered before it has read the whole request,
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -1,116 +1,107 @@
 package ingress
 
 import (
-	"context"
-	"net"
-	"net/http"
+	"container/list"
 	"sync"
 	"time"
 
 	"onyxdyke.example/onyxdyke/internal/netconn"
 )
 
-const (
-	// EvictionGrace is how long a first request may take to arrive before its connection can be evicted.
-	EvictionGrace = 20 * time.Millisecond
-	// evictionCloseDelay is how long after its eviction a connection with an incomplete first request is closed, if
-	// nothing else has closed it. It is longer than a process may be paused, so that the handler of a request that was
-	// read meanwhile has been called.
-	evictionCloseDelay = 500 * time.Millisecond
+// connectionState is what a connection is doing.
+type connectionState int
 
-	// If the process runs out of descriptors rather than slots, there is not necessarily a flood of connections. So no
-	// connection is evicted whose client may still wait for its response, which it does for 0.4 s from its request on:
-	// the connection must have been open for minEvictionAge, and a request must have taken longer to arrive
-	// (minPartialTime) than a process may be paused.
-	minEvictionAge = 500 * time.Millisecond
-	minPartialTime = 200 * time.Millisecond
+const (
+	stateIdle           connectionState = iota // without a request
+	stateReceivingFirst                        // its first request has begun to arrive
+	stateReceivingNext                         // a further request has begun to arrive
+	stateAnswering                             // a request has been read completely and waits for its response
+	stateResponding                            // a response is being written
+	stateClosing                               // nothing more is served; its client may still read the last response
+	stateCount                                 // the number of states
 )
 
-// connectionTable tracks the state of the clients' connections. When the last slot is taken, it evicts the connection
-// that has been without a request for longest, or, if all have one, the connection whose first request has been
-// incomplete for longest. Otherwise peers that only hold a connection open would keep out clients that have a request
-// to send.
+// connectionTable tracks the state of the clients' connections. When the last slot is taken, it evicts a connection
+// (eviction.go). Otherwise peers that only hold a connection open would keep out clients that have a request to send.
 type connectionTable struct {
-	limit   int
 	drained chan struct{} // receives a value whenever no request is open while draining
 
 	mu                  sync.Mutex
+	limit               int // of open
 	open                int
-	idle                map[*clientConn]time.Time // without a request, and the time since which
-	partial             map[*clientConn]time.Time // with an incomplete request, and the time since which
-	served              map[*clientConn]bool      // have had a response: a further request is never evicted
-	isEvictionScheduled bool                      // no connection could be evicted, and a timer tries again
+	leaving             int // evicted connections that are still open
+	conns               map[*clientConn]*trackedConn
+	byState             [stateCount]list.List // the connections that may be evicted, the one longest in its state first
+	isEvictionScheduled bool                  // no connection could be evicted, and a timer tries again
 	isDraining          bool
 }
 
+// trackedConn is what the table knows of a connection.
+type trackedConn struct {
+	*clientConn
+	state    connectionState
+	since    time.Time     // when the state began
+	isServed bool          // has had a response
+	element  *list.Element // in byState; nil for a connection that has been evicted, which leaves
+}
+
 func newConnectionTable(limit int) *connectionTable {
-	return &connectionTable{
-		limit:   limit,
-		drained: make(chan struct{}, 1),
-		idle:    map[*clientConn]time.Time{},
-		partial: map[*clientConn]time.Time{},
-		served:  map[*clientConn]bool{},
+	return &connectionTable{limit: limit, drained: make(chan struct{}, 1), conns: map[*clientConn]*trackedConn{}}
+}
+
+// enter puts a connection into a state. The caller holds the lock.
+func (t *connectionTable) enter(tracked *trackedConn, state connectionState) {
+	isLeaving := tracked.element == nil
+	if !isLeaving {
+		t.byState[tracked.state].Remove(tracked.element)
+	}
+	tracked.state, tracked.since = state, time.Now()
+	if !isLeaving {
+		tracked.element = t.byState[state].PushBack(tracked)
 	}
 }
 
-// connectionKey is the context key of the connection that a request arrived on.
-type connectionKey struct{}
+// receivingState returns the state of a connection on which a request has begun to arrive.
+func (c *trackedConn) receivingState() connectionState {
+	if c.isServed {
+		return stateReceivingNext
+	}
+	return stateReceivingFirst
+}
 
-func withConnection(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, c)
+// isReceiving reports whether a request has begun to arrive and is not complete.
+func (c *trackedConn) isReceiving() bool {
+	return c.state == stateReceivingFirst || c.state == stateReceivingNext
 }
 
-// connectionOf returns the connection of a request, or nil if it did not come through the limitListener.
-func connectionOf(r *http.Request) *clientConn {
-	c, _ := r.Context().Value(connectionKey{}).(*clientConn)
-	return c
+// opened records a new connection. It evicts another one if that took the last slot.
+func (t *connectionTable) opened(c *clientConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.open++
+	t.evictExcess()
+	tracked := &trackedConn{clientConn: c, state: stateIdle, since: time.Now()}
+	tracked.element = t.byState[stateIdle].PushBack(tracked)
+	t.conns[c] = tracked
+	t.reportDrained()
 }
 
-// track records a change of a connection's state. It is the ConnState callback of net/http.
-func (t *connectionTable) track(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*clientConn)
-	if !ok {
-		return
-	}
+// setState records that a connection's state has changed. It has no effect on a connection that is closed.
+func (t *connectionTable) setState(c *clientConn, state connectionState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		t.open++
-		t.evict()
-		t.idle[c] = time.Now()
-	case http.StateIdle:
-		t.served[c] = true
-		delete(t.partial, c)
-		if c.hasBegun.Load() { // a part of the next request was read together with the answered one
-			t.partial[c] = time.Now()
-		} else {
-			t.idle[c] = time.Now()
-		}
-		c.isUnanswered.Store(false)
-		c.hasHandler.Store(false)
-	case http.StateActive:
-		delete(t.idle, c)
-		if _, hasBegun := t.partial[c]; !hasBegun {
-			t.partial[c] = time.Now()
-		}
-	case http.StateClosed, http.StateHijacked:
-		t.open--
-		delete(t.idle, c)
-		delete(t.partial, c)
-		delete(t.served, c)
+	if tracked := t.conns[c]; tracked != nil {
+		t.enter(tracked, state)
 	}
 	t.reportDrained()
 }
 
-// requestBegun records that a request has begun to arrive on a connection. net/http reports that (StateActive) only
-// when it has read the complete head.
+// requestBegun records that a request has begun to arrive on a connection.
 func (t *connectionTable) requestBegun(c *clientConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, isIdle := t.idle[c]; isIdle {
-		delete(t.idle, c)
-		t.partial[c] = time.Now()
+	if tracked := t.conns[c]; tracked != nil && tracked.state == stateIdle {
+		t.enter(tracked, tracked.receivingState())
 	}
 }
 
@@ -122,9 +113,53 @@
 	}
 	c.isUnanswered.Store(true)
 	c.hasBegun.Store(false) // what is read from now on is the next request
+	t.setState(c, stateAnswering)
+}
+
+// responded records that a response has been written, and whether the next request has been read in part.
+func (t *connectionTable) responded(c *clientConn, nextHasBegun bool) {
+	c.isUnanswered.Store(false)
+	c.hasBegun.Store(nextHasBegun)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if tracked := t.conns[c]; tracked != nil {
+		tracked.isServed = true
+		state := stateIdle
+		if nextHasBegun {
+			state = tracked.receivingState()
+		}
+		t.enter(tracked, state)
+	}
+	t.reportDrained()
+}
+
+// closed records that a connection has been closed.
+func (t *connectionTable) closed(c *clientConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.partial, c)
+	tracked := t.conns[c]
+	if tracked == nil {
+		return
+	}
+	delete(t.conns, c)
+	t.open--
+	if tracked.element == nil {
+		t.leaving--
+	} else {
+		t.byState[tracked.state].Remove(tracked.element)
+	}
+	t.reportDrained()
+}
+
+// all returns the connections that are open.
+func (t *connectionTable) all() []*clientConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*clientConn, 0, len(t.conns))
+	for c := range t.conns {
+		list = append(list, c)
+	}
+	return list
 }
 
 // drain closes the connections that are idle after a response, gracefully, and from now on sends on drained whenever no
@@ -133,8 +168,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.isDraining = true
-	for c := range t.idle {
-		if t.served[c] && netconn.ReadWouldBlock(c) {
+	for c, tracked := range t.conns {
+		if tracked.state == stateIdle && tracked.isServed && netconn.ReadWouldBlock(c) {
 			c.closeGracefully(ClosedShutdown)
 		}
 	}
@@ -147,14 +182,15 @@
 func (t *connectionTable) finish(isLate bool) (open int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if isLate {
-		for c := range t.idle {
-			if netconn.ReadWouldBlock(c) {
-				c.closeGracefully(ClosedShutdown)
-			}
-		}
-		for c := range t.partial {
+	if !isLate {
+		return t.open
+	}
+	for c, tracked := range t.conns {
+		switch {
+		case tracked.isReceiving():
 			c.abortRequest(ClosedShutdown)
+		case tracked.state == stateIdle && netconn.ReadWouldBlock(c):
+			c.closeGracefully(ClosedShutdown)
 		}
 	}
 	return t.open
@@ -171,12 +207,22 @@
 func (t *connectionTable) hasNoRequests() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.open <= len(t.idle)
+	return t.open <= t.idle()
+}
+
+// idle returns the number of idle connections. The caller holds the lock.
+func (t *connectionTable) idle() (count int) {
+	for _, tracked := range t.conns {
+		if tracked.state == stateIdle {
+			count++
+		}
+	}
+	return count
 }
 
 // reportDrained sends on drained if no request is open while draining. The caller holds the lock.
 func (t *connectionTable) reportDrained() {
-	if !t.isDraining || t.open > len(t.idle) {
+	if !t.isDraining || t.open > t.idle() {
 		return
 	}
 	select {
@@ -184,80 +230,3 @@
 	default:
 	}
 }
-
-// evict evicts a connection if all slots are taken. The caller holds the lock.
-func (t *connectionTable) evict() {
-	if t.open < t.limit || t.evictIdle(0) || t.evictPartial(0, EvictionGrace) || t.isEvictionScheduled {
-		return
-	}
-	// All remaining requests have only just begun. No further connection is accepted until a slot is free, so no other
-	// event would cause another attempt.
-	t.isEvictionScheduled = true
-	time.AfterFunc(EvictionGrace, func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.isEvictionScheduled = false; t.open >= t.limit && !t.evictPartial(0, EvictionGrace) {
-			t.evict()
-		}
-	})
-}
-
-// evictForDescriptor evicts a connection so that another one can use its descriptor, and reports whether there was one
-// to evict. A connection's age includes its time in the listener's queue: during a flood peers can be evicted as soon
-// as they are accepted.
-func (t *connectionTable) evictForDescriptor() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.evictIdle(minEvictionAge) || t.evictPartial(minEvictionAge, minPartialTime)
-}
-
-// evictIdle evicts the connection that has been idle for longest, among those that have been open for minAge, and
-// reports whether there was one. A connection with unread bytes has a request, so it is not evicted. The caller holds
-// the lock.
-func (t *connectionTable) evictIdle(minAge time.Duration) bool {
-	openedBefore := time.Now().Add(-minAge)
-	for checked := map[*clientConn]bool{}; ; {
-		var oldest *clientConn
-		for c, since := range t.idle {
-			isCandidate := !checked[c] && !c.openedAt.After(openedBefore)
-			if isCandidate && (oldest == nil || since.Before(t.idle[oldest])) {
-				oldest = c
-			}
-		}
-		switch {
-		case oldest == nil:
-			return false
-		case netconn.ReadWouldBlock(oldest): // nearly always true for the first candidate
-			delete(t.idle, oldest)
-			oldest.closeGracefully(ClosedEvictedIdle)
-			return true
-		}
-		checked[oldest] = true
-	}
-}
-
-// evictPartial evicts the connection whose first request has been incomplete for longest, if that is at least minTime,
-// among those that have been open for minAge, and reports whether there was one. Its client gets an error response and
-// a moment to read it, but no longer, because the slot is needed. If the rest of the request has been read just now, it
-// is answered like any other request. The caller holds the lock.
-func (t *connectionTable) evictPartial(minAge, minTime time.Duration) bool {
-	openedBefore := time.Now().Add(-minAge)
-	var oldest *clientConn
-	for c, since := range t.partial {
-		isOld := !t.served[c] && time.Since(since) >= minTime && !c.openedAt.After(openedBefore)
-		if isOld && (oldest == nil || since.Before(t.partial[oldest])) {
-			oldest = c
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	delete(t.partial, oldest)
-	oldest.abortRequest(ClosedEvictedPartial)
-	time.AfterFunc(evictionCloseDelay, func() {
-		if !oldest.isUnanswered.Load() && !oldest.hasHandler.Load() {
-			_ = oldest.Close() // net/http may have closed it meanwhile
-		}
-	})
-	return true
-}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -34,7 +34,7 @@
 // is needed to check for unread bytes.
 type limitListener struct {
 	net.Listener
-	slots        chan struct{}
+	slots        *slots // shared by all listeners of a server
 	closed       chan struct{}
 	queueEmptied chan struct{} // closed when the queue has been emptied and the listener closed
 	close        func() error
@@ -60,10 +60,10 @@
 	failedFor time.Duration // how long accept had failed just before; zero if it had not
 }
 
-func newLimitListener(l net.Listener, limit int) *limitListener {
+func newLimitListener(l net.Listener, slots *slots) *limitListener {
 	limited := &limitListener{
 		Listener:           l,
-		slots:              make(chan struct{}, limit),
+		slots:              slots,
 		closed:             make(chan struct{}),
 		queueEmptied:       make(chan struct{}),
 		freed:              make(chan struct{}, 1),
@@ -87,9 +87,7 @@
 
 // Accept accepts the next client. A timeout occurs only once emptyQueue has set a deadline: then the queue is empty.
 func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
+	if !l.slots.acquire(l.closed) {
 		return nil, net.ErrClosed
 	}
 	l.reserve.ensureOpen()
@@ -97,7 +95,7 @@
 	if err == nil {
 		return l.newClientConn(conn), nil
 	}
-	<-l.slots
+	l.slots.release()
 	l.reserve.release()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		_ = l.close() // the queue is empty, so no client is affected if it fails
@@ -118,16 +116,12 @@
 		l.onAccepted(report)
 	}
 	l.failingSince = time.Time{}
-	openedAt := now.Add(-queued)
-	return &clientConn{
-		Conn:           conn,
-		openedAt:       openedAt,
-		firstRequestBy: latest(openedAt.Add(firstRequestTimeout), now.Add(minFirstReadTime)),
-		skipsLinger:    &l.skipsLinger,
-		onClose:        l.onClose,
-		onRequestBegun: l.onRequestBegun,
-		releaseSlot:    sync.OnceFunc(l.freeSlot),
-	}
+	c := newClientConn(conn, now.Add(-queued))
+	c.firstRequestBy = latest(c.openedAt.Add(firstRequestTimeout), now.Add(minFirstReadTime))
+	c.skipsLinger = &l.skipsLinger
+	c.onClose, c.onRequestBegun = l.onClose, l.onRequestBegun
+	c.releaseSlot = sync.OnceFunc(l.freeSlot)
+	return c
 }
 
 // latest returns the later of two times.
@@ -140,7 +134,7 @@
 
 // freeSlot frees the slot of a connection that has been closed.
 func (l *limitListener) freeSlot() {
-	<-l.slots
+	l.slots.release()
 	select {
 	case l.freed <- struct{}{}:
 	default: // a signal is pending already
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -17,10 +17,7 @@
 // MaxBody is the maximum size of the body of a client's request, in bytes (protocol).
 const MaxBody = 64 << 10
 
-const (
-	maxHeader   = 16 << 10
-	maxDeadline = 24 * time.Hour
-)
+const maxDeadline = 24 * time.Hour
 
 // The headers of a request (protocol).
 const (
@@ -49,6 +46,9 @@
 
 func (e *requestError) Error() string { return e.text }
 
+// errNoRoom rejects a request that is dropped in favour of others. It has had no effect.
+var errNoRoom = &requestError{status: http.StatusServiceUnavailable, text: "no room for the request"}
+
 func badRequest(format string, args ...any) error {
 	return &requestError{status: http.StatusBadRequest, text: fmt.Sprintf(format, args...)}
 }
@@ -70,7 +70,7 @@
 }
 
 // parse parses a request that arrived at arrivedAt. Its errors are of type *requestError.
-func parse(w http.ResponseWriter, r *http.Request, c *config.Config, arrivedAt time.Duration) (*Submission, error) {
+func parse(r *http.Request, c *config.Config, arrivedAt time.Duration) (*Submission, error) {
 	s := &Submission{Responses: make(chan Response, 1), TenantIndex: -1}
 	if err := s.readIdentifiers(r); err != nil {
 		return nil, err
@@ -93,7 +93,7 @@
 	if s.Destination, err = parseDestination(r.Header.Get(headerAddressing)); err != nil {
 		return nil, err
 	}
-	s.Body, err = readBody(w, r)
+	s.Body, err = readBody(r)
 	return s, err
 }
 
@@ -152,18 +152,32 @@
 	return 0, badRequest("%s names no dest", headerAddressing)
 }
 
+// bodyInBudget is a body whose memory is taken from the budget before it is read.
+type bodyInBudget interface{ readAll() ([]byte, error) }
+
 // readBody reads the body completely.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength > MaxBody {
 		return nil, &requestError{
 			status: http.StatusRequestEntityTooLarge,
 			text:   fmt.Sprintf("the body is over %d bytes", MaxBody),
 		}
 	}
+	body, err := readWhole(r)
+	if err == nil {
+		return body, nil
+	}
+	if c := connectionOf(r); errors.Is(err, errNoMemory) || (c != nil && c.isEvicted.Load()) {
+		return nil, errNoRoom
+	}
 	return nil, badRequest("the body does not come whole: %v", err)
 }
+
+func readWhole(r *http.Request) ([]byte, error) {
+	if body, ok := r.Body.(bodyInBudget); ok {
+		return body.readAll()
+	}
+	body := make([]byte, max(0, r.ContentLength))
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -39,6 +39,8 @@
 	QueueTimeout = 50 * time.Millisecond
 	// ResponseTimeout bounds the time in which Finish waits until all requests that have been read are answered.
 	ResponseTimeout = 200 * time.Millisecond
+	// shareInterval is how often AwaitShare checks whether the share is kept.
+	shareInterval = 2 * time.Millisecond
 	// finishInterval is how often Finish checks whether requests are open.
 	finishInterval = 10 * time.Millisecond
 )
@@ -64,7 +66,7 @@
 	invariants   *invariant.Checker
 	metrics      *metrics.Registry
 	submit       SubmitFunc
-	http         *http.Server
+	handler      http.Handler
 	isReady      atomic.Bool
 	isClosing    atomic.Bool     // responses carry "Connection: close"
 	submitCtx    context.Context // the context of submissions; Close cancels it
@@ -73,6 +75,8 @@
 	acceptFailedAt atomic.Pointer[time.Time] // nil for never
 
 	connections *connectionTable
+	slots       *slots
+	memory      *memoryBudget
 	mu          sync.Mutex
 	listener    *limitListener
 }
@@ -85,7 +89,9 @@
 		invariants:  o.Invariants,
 		metrics:     o.Metrics,
 		submit:      o.Submit,
-		connections: newConnectionTable(o.Config.Limits.MaxClientConnections()),
+		connections: newConnectionTable(o.Config.Limits.ClientConnections(config.ShareWhole)),
+		slots:       newSlots(o.Config.Limits.ClientConnections(config.ShareWhole)),
+		memory:      newMemoryBudget(o.Config.Limits.RequestMemory(config.ShareWhole)),
 	}
 	if s.metrics == nil {
 		s.metrics = metrics.New(nil)
@@ -99,17 +105,8 @@
 	mux.HandleFunc("POST /api", s.handleMessage)
 	mux.HandleFunc("GET /-/ready", s.handleReady)
 	mux.HandleFunc("GET /-/healthy", func(http.ResponseWriter, *http.Request) {})
-	s.http = &http.Server{
-		Handler:           s.withFramingCheck(mux),
-		MaxHeaderBytes:    maxHeader,
-		ReadHeaderTimeout: HeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		WriteTimeout:      writeTimeout,
-		ConnState:         s.connections.track,
-		ConnContext:       withConnection,
-		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug),
-	}
+	s.handler = s.withFramingCheck(mux)
+	s.memory.onShortage = func() { s.connections.evictForMemory(s.memory.shortage()) }
 	return s
 }
 
@@ -119,8 +116,29 @@
 // SetConfig replaces the configuration that requests are checked against.
 func (s *Server) SetConfig(c *config.Config) { s.config.Store(c) }
 
-// MaxConnections returns how many client connections may be open at once.
-func (s *Server) MaxConnections() int { return s.connections.limit }
+// SetShare limits the connections and the memory of requests to a share of the configured limits. What exceeds it is
+// evicted as soon as it can be.
+func (s *Server) SetShare(share config.Share) {
+	limits := s.Config().Limits
+	s.memory.setLimit(limits.RequestMemory(share))
+	s.slots.setLimit(limits.ClientConnections(share))
+	s.connections.setLimit(limits.ClientConnections(share))
+}
+
+// AwaitShare waits until the connections and the memory of requests are within the share, and reports whether they are.
+// It gives up when ctx ends.
+func (s *Server) AwaitShare(ctx context.Context) bool {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for !s.slots.isWithinLimit() || s.memory.shortage() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
 
 // SetReady makes the readiness check succeed, unless the server is closing.
 func (s *Server) SetReady() { s.isReady.Store(true) }
@@ -144,7 +162,7 @@
 // clients hold only a part of the descriptors. While no open connection can be evicted, further clients wait to be
 // accepted.
 func (s *Server) Limit(l net.Listener) net.Listener {
-	limited := newLimitListener(l, s.connections.limit)
+	limited := newLimitListener(l, s.slots)
 	limited.onAcceptError = s.recordAcceptError
 	limited.onAccepted = s.logAccepted
 	limited.evictForDescriptor = s.connections.evictForDescriptor
@@ -162,16 +180,6 @@
 	return s.listener
 }
 
-// Serve serves on a listener returned by Limit until this server closes it. net/http closes it, too, if accept fails
-// permanently; Serve returns an error then.
-func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
-	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // recordAcceptError records that a client could not be accepted.
 func (s *Server) recordAcceptError(err error) {
 	if !s.IsAcceptFailing() {
@@ -243,7 +251,10 @@
 		listener.skipsLinger.Store(true)
 	}
 	s.cancelSubmit()
-	_ = s.http.Close() // the process stops, so the error is of no use
+	s.StopAccepting()
+	for _, c := range s.connections.all() {
+		_ = c.Close() // the process stops, so the error is of no use
+	}
 }
 
 // handleReady answers the platform's readiness check.
@@ -257,9 +268,6 @@
 // the server is closing.
 func (s *Server) withFramingCheck(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := connectionOf(r); c != nil {
-			c.hasHandler.Store(true)
-		}
 		if s.isClosing.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -281,21 +289,19 @@
 	}
 	s.metrics.CountReason(metrics.ReasonRejected, "status_"+strconv.Itoa(status))
 	w.Header().Set("Connection", "close")
-	http.Error(w, err.Error(), status)
+	Response{Status: status, Text: err.Error()}.write(w)
 }
 
 // handleMessage hands one message to the event loop and writes the response. Invalid requests are rejected here and
 // never reach the event loop.
 func (s *Server) handleMessage(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := s.clock.Now()
-	submission, err := parse(w, r, s.config.Load(), arrivedAt)
+	submission, err := parse(r, s.config.Load(), arrivedAt)
 	if err != nil {
 		s.reject(w, err)
 		return
 	}
 	s.connections.requestRead(connectionOf(r))
-	// The call fails only on connections that do not support deadlines, as in tests, and those have none to reset.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	// Once submitted, the message may be accepted, so the handler waits for the response even if the client
 	// disconnects. The request's context cannot be used for submitting, because it also ends when its connection is
 	// evicted, although the request is still answered then.
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -83,3 +83,42 @@
 	err = raw.Control(func(fd uintptr) { useErr = use(int(fd)) })
 	return errors.Join(err, useErr)
 }
+
+// HasPeerLeft reports whether the other side of a connection is known to have closed it, also if bytes that it sent
+// before have not been read yet. A peer that has only ended its sending looks the same.
+func HasPeerLeft(c net.Conn) bool {
+	var info *unix.TCPInfo
+	err := WithDescriptor(c, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	if err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE) {
+		return true
+	}
+	count, err := peek(c)
+	return count == 0 && (err == nil || errors.Is(err, syscall.ECONNRESET))
+}
+
+// ErrNotAwaited is returned by AwaitReadable for a connection whose descriptor it cannot use.
+var ErrNotAwaited = errors.New("the connection does not tell how much has arrived")
+
+// AwaitReadable waits until count bytes can be read from a connection, or as many as the system buffers, or until the
+// connection or its read deadline ends. It returns ErrNotAwaited if the system does not offer that.
+func AwaitReadable(c net.Conn, count int) error {
+	if err := setLowWaterMark(c, count); err != nil {
+		return errors.Join(ErrNotAwaited, err)
+	}
+	defer func() { _ = setLowWaterMark(c, 1) }() // it fails only if the connection is closed
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(isReadable)
+}
+
+// setLowWaterMark sets how many bytes have to arrive on a connection until it counts as readable.
+func setLowWaterMark(c net.Conn, count int) error {
+	return WithDescriptor(c, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVLOWAT, count)
+	})
+}
--- a/internal/netconn/netconn_test.go
+++ b/internal/netconn/netconn_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -170,3 +172,42 @@
 		}
 	}
 }
+
+// Guards against reading a request before it has arrived, which takes memory for as long as its peer likes: the wait
+// ends when the bytes are there, when more than the system buffers is waited for, or when the connection ends. What
+// comes later is noticed again as soon as one byte has arrived.
+func TestAwaitReadable(t *testing.T) {
+	local, remote := connect(t)
+	const count = 60 << 10
+	if _, err := remote.Write(make([]byte, count-1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = local.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if err := AwaitReadable(local, count); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("one byte is missing, and the wait ends with %v", err)
+	}
+	time.AfterFunc(20*time.Millisecond, func() { _, _ = remote.Write([]byte{0}) })
+	_ = local.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if err := AwaitReadable(local, count); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(local, make([]byte, count)); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(20*time.Millisecond, func() { _, _ = remote.Write([]byte{0}) })
+	if n, err := local.Read(make([]byte, 2)); n != 1 || err != nil {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+	go func() { _, _ = remote.Write(make([]byte, 64<<20)) }() // ends when the connection is closed
+	if err := AwaitReadable(local, 64<<20); err != nil {
+		t.Fatalf("more than the system buffers: %v", err)
+	}
+	_ = remote.Close()
+	if err := AwaitReadable(local, 64<<20); err != nil {
+		t.Fatalf("the connection has ended: %v", err)
+	}
+	piped, _ := net.Pipe()
+	if err := AwaitReadable(piped, 1); !errors.Is(err, ErrNotAwaited) {
+		t.Errorf("a connection without a descriptor: %v", err)
+	}
+}
--- a/internal/sender/process.go
+++ b/internal/sender/process.go
@@ -14,10 +14,6 @@
 	"onyxdyke.example/onyxdyke/internal/retry"
 )
 
-// heapShare is the share of the memory limit that the garbage collector aims to stay under. The journal's pages and the
-// kernel's buffers count against the limit as well.
-const heapShare = 0.6
-
 // RunProcess runs a sender as a process of its own: it reads its configuration, listens, and serves until SIGTERM. At
 // SIGHUP it reads the configuration again.
 func RunProcess(env Environment) error {
@@ -67,7 +63,7 @@
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(limits.Cores))))
 	}
 	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(limits.MemoryMB * 1e6 * heapShare))
+		debug.SetMemoryLimit(limits.GoMemory(config.ShareWhole))
 	}
 }
 
