Give each process of an upgrade a share of the limits

Cause: each process divided the whole of the limits as if it were alone, and the predecessor kept its clients' connections until they timed out.

Change: before it hands over, the owner reduces itself to half of the clients' connections and of the requests' memory, and gives free memory back; the successor takes the other half until its predecessor has ended. Both say so in a new optional field of the link's first packets; beside a process that does not, a process takes what that one leaves.

--- a/internal/handover/frozen.go
+++ b/internal/handover/frozen.go
@@ -25,10 +25,11 @@
 type frozenHello struct {
 	Version     int
 	Connections bool
+	Share       bool
 }
 
 // frozenSnapshot is a Snapshot. Flights are the attempts in flight, Rests holds BackoffUntil, Memory the dispatcher's
-// snapshot, and Connections the addresses of the connections that are passed as descriptors.
+// snapshot, and Connections the addresses of the connections that are passed as descriptors. Share is KeepsShare.
 type frozenSnapshot struct {
 	ListVersion int64
 	Endpoints   []frozenTarget
@@ -36,6 +37,7 @@
 	Rests       map[string]time.Duration
 	Memory      frozenMemory
 	Connections []string
+	Share       bool
 }
 
 // frozenTarget is an endpoint of the endpoint list.
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -27,7 +27,8 @@
 	closeOnce sync.Once
 	closed    chan struct{}
 
-	inheritsConnections bool // the successor takes over the open connections; set before the link is returned
+	// What the Hello of a successor states; set before the link is returned.
+	inheritsConnections, keepsShare bool
 }
 
 // outgoing is an entry of the write queue: a packet, or a flush marker without a packet.
@@ -125,6 +126,9 @@
 // with the snapshot.
 func (l *Link) InheritsConnections() bool { return l.inheritsConnections }
 
+// KeepsShare reports whether the other process, a successor, keeps to its share of the limits while both run.
+func (l *Link) KeepsShare() bool { return l.keepsShare }
+
 // Listen calls receive for each packet from the other process until the link ends, and then calls lost once, after
 // peerExitDelay.
 func (l *Link) Listen(receive func(Packet), lost func()) {
--- a/internal/handover/packet.go
+++ b/internal/handover/packet.go
@@ -20,6 +20,7 @@
 type Hello struct {
 	Version             int
 	InheritsConnections bool // the successor takes over the open connections that are sent with the snapshot
+	KeepsShare          bool // the successor keeps to its share of the limits while both processes run
 }
 
 // Snapshot is the state that the lock owner passes to its successor in addition to the journal.
@@ -32,6 +33,8 @@
 	// Connections belong to the process that sends the snapshot until the snapshot is written, and then to the process
 	// that receives it. They are set only for a successor that accepts them.
 	Connections []PassedConnection
+	// KeepsShare states that the lock owner keeps to its share of the limits while both processes run.
+	KeepsShare bool
 }
 
 // PassedConnection is a connection to the platform on which nothing has been sent.
--- a/internal/handover/translate.go
+++ b/internal/handover/translate.go
@@ -9,7 +9,11 @@
 )
 
 func (h Hello) toWire() frozenPacket {
-	return frozenPacket{Hello: &frozenHello{Version: h.Version, Connections: h.InheritsConnections}}
+	return frozenPacket{Hello: &frozenHello{
+		Version:     h.Version,
+		Connections: h.InheritsConnections,
+		Share:       h.KeepsShare,
+	}}
 }
 
 func (s *Snapshot) toWire() frozenPacket {
@@ -41,7 +45,11 @@
 func (f frozenPacket) fromWire() Packet {
 	switch {
 	case f.Hello != nil:
-		return Hello{Version: f.Hello.Version, InheritsConnections: f.Hello.Connections}
+		return Hello{
+			Version:             f.Hello.Version,
+			InheritsConnections: f.Hello.Connections,
+			KeepsShare:          f.Hello.Share,
+		}
 	case f.Estate != nil:
 		return f.Estate.fromWire()
 	case f.Submit != nil:
@@ -70,7 +78,12 @@
 func (f frozenAttemptID) fromWire() AttemptID { return AttemptID{Message: f.ID, Attempt: f.Try} }
 
 func snapshotToWire(s *Snapshot) *frozenSnapshot {
-	f := &frozenSnapshot{ListVersion: s.ListVersion, Rests: s.BackoffUntil, Memory: dispatcherToWire(s.Dispatcher)}
+	f := &frozenSnapshot{
+		ListVersion: s.ListVersion,
+		Rests:       s.BackoffUntil,
+		Memory:      dispatcherToWire(s.Dispatcher),
+		Share:       s.KeepsShare,
+	}
 	for _, e := range s.Endpoints {
 		f.Endpoints = append(f.Endpoints, frozenTarget{
 			ID:     e.ID,
@@ -98,7 +111,12 @@
 }
 
 func (f *frozenSnapshot) fromWire() *Snapshot {
-	s := &Snapshot{ListVersion: f.ListVersion, BackoffUntil: f.Rests, Dispatcher: f.Memory.fromWire()}
+	s := &Snapshot{
+		ListVersion:  f.ListVersion,
+		BackoffUntil: f.Rests,
+		Dispatcher:   f.Memory.fromWire(),
+		KeepsShare:   f.Share,
+	}
 	for _, e := range f.Endpoints {
 		s.Endpoints = append(s.Endpoints, endpointlist.Endpoint{
 			ID:     e.ID,
--- a/internal/handover/upgrade.go
+++ b/internal/handover/upgrade.go
@@ -37,7 +37,7 @@
 		return nil, nil, err
 	}
 	link := newLink(conn.(*net.UnixConn)) // the dialed network is "unix"
-	link.Send(Hello{Version: protocolVersion, InheritsConnections: true})
+	link.Send(Hello{Version: protocolVersion, InheritsConnections: true, KeepsShare: true})
 	p, err := link.receiveWithTimeout()
 	snapshot, ok := p.(*Snapshot)
 	if err == nil && !ok {
@@ -81,7 +81,7 @@
 		link := newLink(conn.(*net.UnixConn)) // the listener's network is "unix"
 		p, err := link.receiveWithTimeout()
 		if hello, ok := p.(Hello); err == nil && ok && hello.Version == protocolVersion {
-			link.inheritsConnections = hello.InheritsConnections
+			link.inheritsConnections, link.keepsShare = hello.InheritsConnections, hello.KeepsShare
 			return link, nil
 		}
 		log.Warn("closing the link: the successor sent no hello of a supported version", "err", err)
--- a/internal/sender/environment.go
+++ b/internal/sender/environment.go
@@ -23,6 +23,8 @@
 	WrapListener func(net.Listener) net.Listener
 	// Control is called for each socket before it connects to an endpoint or to discovery. It may be nil.
 	Control func(network, address string, c syscall.RawConn) error
+	// LimitMemory limits the memory of Go's runtime to a number of bytes. It may be nil.
+	LimitMemory func(bytes int64)
 }
 
 // OperatingSystem returns the environment of a sender in production.
--- a/internal/sender/events.go
+++ b/internal/sender/events.go
@@ -52,6 +52,10 @@
 	// successorEvent reports that a successor requests the snapshot.
 	successorEvent struct{ link *handover.Link }
 
+	// shareReachedEvent reports that this process is within its share of the limits, so that the successor that has
+	// requested the snapshot can get it.
+	shareReachedEvent struct{ link *handover.Link }
+
 	// packetEvent reports a packet from the other process of an upgrade.
 	packetEvent struct {
 		link   *handover.Link
@@ -80,6 +84,7 @@
 func (noticesDeliveredEvent) isEvent()  {}
 func (reloadEvent) isEvent()            {}
 func (successorEvent) isEvent()         {}
+func (shareReachedEvent) isEvent()      {}
 func (packetEvent) isEvent()            {}
 func (linkLostEvent) isEvent()          {}
 func (lockHeldEvent) isEvent()          {}
--- a/internal/sender/handover.go
+++ b/internal/sender/handover.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"onyxdyke.example/onyxdyke/internal/config"
 	"onyxdyke.example/onyxdyke/internal/discovery"
 	"onyxdyke.example/onyxdyke/internal/dispatch"
 	"onyxdyke.example/onyxdyke/internal/handover"
@@ -19,6 +20,7 @@
 	}
 	s.log.Warn("no hand-over while the journal cannot be written")
 	successor.Close()
+	s.setShare(config.ShareWhole)
 	s.upgrade.startAwaitingSuccessor(ctx)
 	return false
 }
@@ -54,6 +56,7 @@
 		InFlight:     s.inFlightAttempts(),
 		BackoffUntil: s.backoffUntil(),
 		Dispatcher:   s.dispatcher.Snapshot(),
+		KeepsShare:   true,
 	}
 	for _, e := range s.list.byNumber {
 		snapshot.Endpoints = append(snapshot.Endpoints, e.entry)
@@ -144,6 +147,7 @@
 		return
 	}
 	s.upgrade.handedOver = false
+	s.setShare(config.ShareWhole)
 	handedOverMessages := s.messages.byID
 	s.messages.clear()
 	ownCall := func(attempt handover.InFlightAttempt) *inFlightCall {
--- a/internal/sender/loop.go
+++ b/internal/sender/loop.go
@@ -12,7 +12,7 @@
 const maxEventBatch = 256
 
 // processEvents handles an event and those that are queued, and runs one step of the dispatcher. If a successor has
-// requested the snapshot, it then hands over.
+// requested the snapshot and this process is ready for that, it then hands over.
 func (s *Sender) processEvents(ctx context.Context, first event) {
 	if s.upgrade.handedOver {
 		s.handleAfterHandOver(ctx, first)
@@ -26,13 +26,13 @@
 	}
 }
 
-// handleQueued handles an event and those queued behind it, up to a successor's request for the snapshot, whose link it
+// handleQueued handles an event and those queued behind it, up to the hand-over to a successor, whose link it
 // returns. It checks the bound before it receives the next event, because an event that has left the queue must be
 // handled here.
 func (s *Sender) handleQueued(ctx context.Context, first event) (events []dispatch.Event, successor *handover.Link) {
 	e := first
 	for handled := 1; ; handled++ {
-		if request, ok := e.(successorEvent); ok {
+		if request, ok := e.(shareReachedEvent); ok {
 			return events, request.link
 		}
 		events = append(events, s.handleEvent(ctx, e)...)
@@ -64,14 +64,6 @@
 		return []dispatch.Event{dispatch.RetryAfterReceived{Endpoint: e.endpoint, RetryAfter: pause}}
 	case reloadEvent:
 		return s.applyConfig(e.Config)
-	case packetEvent:
-		return s.handlePredecessorPacket(ctx, e)
-	case linkLostEvent:
-		return s.handleCallEnd(callEndedEvent{ends: s.handlePredecessorLoss(e.link)})
-	case lockAcquiredEvent: // this process holds the lock already
-		if e.lock != nil {
-			_ = e.lock.Close() // closing a directory cannot lose data
-		}
 	case endpointListEvent:
 		return s.handleEndpointList(e)
 	case endpointListStaleEvent:
@@ -80,6 +72,26 @@
 		return s.handleDiscoveryFailure(e.err)
 	case noticesDeliveredEvent:
 		s.handleNoticesDelivered(e.notices)
+	default:
+		return s.handleUpgradeEvent(ctx, e)
+	}
+	return nil
+}
+
+// handleUpgradeEvent is handleEvent for the events of an upgrade.
+func (s *Sender) handleUpgradeEvent(ctx context.Context, e event) []dispatch.Event {
+	switch e := e.(type) {
+	case successorEvent:
+		s.setShare(overlapShare(e.link.KeepsShare()))
+		go s.prepareHandOver(ctx, e.link)
+	case packetEvent:
+		return s.handlePredecessorPacket(ctx, e)
+	case linkLostEvent:
+		return s.handleCallEnd(callEndedEvent{ends: s.handlePredecessorLoss(e.link)})
+	case lockAcquiredEvent: // this process holds the lock already
+		if e.lock != nil {
+			_ = e.lock.Close() // closing a directory cannot lose data
+		}
 	}
 	return nil
 }
--- a/internal/sender/peer.go
+++ b/internal/sender/peer.go
@@ -52,9 +52,7 @@
 			}})
 		}
 	}
-	if s.upgrade.predecessor == link {
-		s.upgrade.predecessor = nil
-	}
+	s.handlePredecessorExit(link)
 	return ends
 }
 
@@ -80,8 +78,18 @@
 		if !s.config.Settings.PollsEndpointList {
 			s.requestEndpointList()
 		}
+	default:
+		s.handleUpgradeAfterHandOver(ctx, e)
+	}
+}
+
+// handleUpgradeAfterHandOver is handleAfterHandOver for the events of an upgrade.
+func (s *Sender) handleUpgradeAfterHandOver(ctx context.Context, e event) {
+	switch e := e.(type) {
 	case successorEvent:
 		e.link.Close() // the other process has to ask the current lock owner
+	case shareReachedEvent:
+		e.link.Close()
 	case lockHeldEvent:
 		s.handleLockHeld()
 	case lockAcquiredEvent:
--- a/internal/sender/process.go
+++ b/internal/sender/process.go
@@ -37,7 +37,8 @@
 	if err != nil {
 		return err
 	}
-	limitRuntime(cfg.Limits)
+	limitCores(cfg.Limits)
+	env.LimitMemory = limitGoMemory
 	var listen ListenFunc
 	err = retry.OnTransient(ctx, log, "opening the passed socket", func() (err error) {
 		listen, err = cfg.Listener()
@@ -57,16 +58,16 @@
 	return s.Run(ctx, listen)
 }
 
-// limitRuntime applies the configured limits of cores and memory to Go's runtime.
-func limitRuntime(limits config.Limits) {
+// limitCores applies the configured limit of cores to Go's runtime.
+func limitCores(limits config.Limits) {
 	if limits.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(limits.Cores))))
 	}
-	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(limits.GoMemory(config.ShareWhole))
-	}
 }
 
+// limitGoMemory makes Go's runtime collect garbage in time to stay under a number of bytes, as far as it can.
+func limitGoMemory(bytes int64) { debug.SetMemoryLimit(bytes) }
+
 // reloadOn reloads the configuration at each signal, until ctx ends.
 func (s *Sender) reloadOn(ctx context.Context, hangups <-chan os.Signal) {
 	for {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -116,8 +116,10 @@
 		return nil, err
 	}
 	if !owned {
+		s.setShare(config.ShareRemainder)
 		return s, nil // another process holds the lock: Run takes over from it
 	}
+	s.setShare(config.ShareWhole)
 	return s, s.openJournal(ctx)
 }
 
--- a/internal/sender/upgrade.go
+++ b/internal/sender/upgrade.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"onyxdyke.example/onyxdyke/internal/config"
 	"onyxdyke.example/onyxdyke/internal/dispatch"
 	"onyxdyke.example/onyxdyke/internal/handover"
 	"onyxdyke.example/onyxdyke/internal/ingress"
@@ -134,6 +135,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if snapshot == nil {
+		s.setShare(config.ShareWhole)
+	} else {
+		s.setShare(overlapShare(snapshot.KeepsShare))
+	}
 	return snapshot, s.openJournal(ctx)
 }
 
