Bound the rate of the requests that are served on one connection

What callers saw: while clients sent small or unsound requests at full speed, other clients got their answers late.

Cause: a connection whose requests had arrived already was served without a pause, and Go's scheduler takes the processor from a goroutine only after 10 ms; with 20 such connections each step of a request waited for 0.2 s.

Change: what exceeds 500 requests a second on a connection, after a burst of 50, is delayed: the response is held back, so that a client that leaves meanwhile is noticed before its next request is submitted. While slots are scarce the burst is 2, and a connection that is held back is evicted first.

--- a/cmd/sender/limits_test.go
+++ b/cmd/sender/limits_test.go
@@ -116,6 +116,7 @@
 	open       sync.WaitGroup
 	answered   atomic.Int64
 	unanswered atomic.Int64 // messages that have got no answer in all of their hand-ins
+	late       atomic.Int64 // hand-ins that were not answered in time
 }
 
 const (
@@ -141,7 +142,7 @@
 					return
 				case <-time.After(clientPause):
 				}
-				if handInUntilAnswered(t, client, addr, "c"+strconv.Itoa(number)+"-"+strconv.Itoa(n), body) {
+				if c.handIn(t, client, addr, "c"+strconv.Itoa(number)+"-"+strconv.Itoa(n), body) {
 					c.answered.Add(1)
 				} else {
 					c.unanswered.Add(1)
@@ -152,8 +153,9 @@
 	return c
 }
 
-// handInUntilAnswered hands a message in until it is answered, and reports whether it was.
-func handInUntilAnswered(t *testing.T, client *http.Client, addr, id, body string) bool {
+// handIn hands a message in until it is answered, and reports whether it was.
+func (c *goodClients) handIn(t *testing.T, client *http.Client, addr, id, body string) bool {
+	t.Helper()
 	for try := range handIns {
 		request := st.Request(t, addr, id+"-"+strconv.Itoa(try), "safe", 0, 5*time.Second, body)
 		if response, err := client.Do(request); err == nil {
@@ -161,6 +163,7 @@
 			_ = response.Body.Close()
 			return true
 		}
+		c.late.Add(1)
 		time.Sleep(handInPause)
 	}
 	return false
--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -50,6 +50,7 @@
 	closeOnce      sync.Once
 	abortOnce      sync.Once
 	aborted        chan struct{} // closed when nothing more is read
+	pacer          pacer         // belongs to the goroutine that serves the connection
 	heldMemory     atomic.Int64  // bytes of the memory budget that its request holds
 	skipsLinger    *atomic.Bool  // the listener's: Close does not wait for the client to read its response
 	onClose        func(*clientConn)
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -16,11 +16,15 @@
 	stateReceivingFirst                        // its first request has begun to arrive
 	stateReceivingNext                         // a further request has begun to arrive
 	stateAnswering                             // a request has been read completely and waits for its response
+	stateDelayed                               // its response is held back, because it exceeds its rate
 	stateResponding                            // a response is being written
 	stateClosing                               // nothing more is served; its client may still read the last response
 	stateCount                                 // the number of states
 )
 
+// crowdedDivisor determines when slots are scarce: if fewer than 1/crowdedDivisor of all are free.
+const crowdedDivisor = 4
+
 // connectionTable tracks the state of the clients' connections. When the last slot is taken, it evicts a connection
 // (eviction.go). Otherwise peers that only hold a connection open would keep out clients that have a request to send.
 type connectionTable struct {
@@ -106,11 +110,8 @@
 }
 
 // requestRead records that the request on a connection has been read completely: from now on the client must get a
-// response. c may be nil.
+// response.
 func (t *connectionTable) requestRead(c *clientConn) {
-	if c == nil {
-		return
-	}
 	c.isUnanswered.Store(true)
 	c.hasBegun.Store(false) // what is read from now on is the next request
 	t.setState(c, stateAnswering)
@@ -151,6 +152,13 @@
 	t.reportDrained()
 }
 
+// isCrowded reports whether slots are scarce.
+func (t *connectionTable) isCrowded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.open >= t.limit-t.limit/crowdedDivisor
+}
+
 // all returns the connections that are open.
 func (t *connectionTable) all() []*clientConn {
 	t.mu.Lock()
--- a/internal/ingress/eviction.go
+++ b/internal/ingress/eviction.go
@@ -44,7 +44,7 @@
 func (t *connectionTable) evictExcess() {
 	hasIdle := true
 	for t.open-t.leaving >= t.limit {
-		if t.evictClosing() {
+		if t.evictHindering() {
 			continue
 		}
 		hasIdle = t.evictIdle(0)
@@ -54,7 +54,7 @@
 		}
 	}
 	for headroom := t.limit / headroomDivisor; !hasIdle && t.open-t.leaving >= t.limit-headroom; {
-		if !t.evictClosing() && !t.evictIncomplete() {
+		if !t.evictHindering() && !t.evictIncomplete() {
 			return
 		}
 	}
@@ -79,6 +79,10 @@
 	})
 }
 
+// evictHindering evicts a connection whose peer holds up others, and reports whether there was one: one that only waits
+// for its client to read the last response, or one that exceeds its rate. The caller holds the lock.
+func (t *connectionTable) evictHindering() bool { return t.evictClosing() || t.evictDelayed() }
+
 // evictIncomplete evicts a connection whose request or response is incomplete, and reports whether there was one: one
 // whose first request arrives, then one whose peer does not read its response, and last one with a further request of
 // its client. The caller holds the lock.
@@ -159,6 +163,15 @@
 	return tracked != nil
 }
 
+// evictDelayed evicts a connection that exceeds its rate. Its client gets the response that is held back.
+func (t *connectionTable) evictDelayed() bool {
+	tracked := t.longestIn(stateDelayed, 0)
+	if tracked != nil {
+		t.evictConn(tracked, ClosedEvicted, tracked.dropUnread)
+	}
+	return tracked != nil
+}
+
 // evictBlocked evicts a connection whose peer does not read its response.
 func (t *connectionTable) evictBlocked() bool {
 	tracked := t.longestIn(stateResponding, servedEvictionGrace)
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -74,6 +74,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	reader.endRequest()
+	s.delayResponse(c)
 	if c.isEvicted.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -110,3 +111,20 @@
 	_, err := c.Write(w.render(withBody))
 	return err
 }
+
+// delayResponse holds the response back while the connection exceeds its rate. Only the response is delayed, not the
+// reading of the next request: a client that leaves meanwhile is noticed as soon as the response is written, before its
+// next request is submitted.
+func (s *Server) delayResponse(c *clientConn) {
+	delay := c.pacer.take(time.Now(), s.connections.isCrowded())
+	if delay <= 0 {
+		return
+	}
+	s.connections.setState(c, stateDelayed)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.aborted:
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -301,7 +301,9 @@
 		s.reject(w, err)
 		return
 	}
-	s.connections.requestRead(connectionOf(r))
+	if c := connectionOf(r); c != nil {
+		s.connections.requestRead(c)
+	}
 	// Once submitted, the message may be accepted, so the handler waits for the response even if the client
 	// disconnects. The request's context cannot be used for submitting, because it also ends when its connection is
 	// evicted, although the request is still answered then.
