Forget destinations that no list names once no message waits for them

What callers saw: memory and the time of each decision grew with every new destination that a client named.

Cause: the dispatcher kept an entry for each destination of any message, up to 65,536, and went through all of them in each step.

Change: a destination that has never been on the list is removed when its last message ends. Those that have been keep what was learnt of them.

Measured: TestUnlistedDestinationsAreForgotten fails without the change (1,003 destinations are kept in place of 3).

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -55,6 +55,7 @@
 		d.recordClassGoodput(m)
 		d.pending = remove(d.pending, m)
 		m.destination.waiting = remove(m.destination.waiting, m)
+		d.forgetUnlisted(m.destination)
 	}
 	if m.inFlight == 0 {
 		delete(d.messages, m.ID)
--- a/internal/dispatch/endpointlist.go
+++ b/internal/dispatch/endpointlist.go
@@ -37,6 +37,7 @@
 func (d *Dispatcher) addEndpoint(entry Endpoint) {
 	entry.Kind, entry.Zone = max(0, entry.Kind), max(0, entry.Zone)
 	dest := d.ensureDestination(entry.Destination)
+	dest.isListed = true
 	e := d.endpoints[entry.ID]
 	if e == nil || e.Destination != entry.Destination {
 		if e == nil {
@@ -85,13 +86,23 @@
 func (d *Dispatcher) ensureDestination(id DestinationID) *destination {
 	dest := d.destinations[id]
 	if dest == nil {
-		dest = &destination{}
+		dest = &destination{id: id}
 		d.destinations[id] = dest
 		d.destinationOrder = append(d.destinationOrder, dest)
 	}
 	return dest
 }
 
+// forgetUnlisted removes a destination for which no message waits and of which no endpoint has ever been on the list.
+// Clients may name any number of such destinations.
+func (d *Dispatcher) forgetUnlisted(dest *destination) {
+	if dest.isListed || len(dest.waiting) > 0 || d.destinations[dest.id] != dest {
+		return
+	}
+	delete(d.destinations, dest.id)
+	d.destinationOrder = remove(d.destinationOrder, dest)
+}
+
 // maxBatchSize returns how many messages may share a call to e.
 func (d *Dispatcher) maxBatchSize(e *endpoint) int {
 	if e.Kind < len(d.settings.Kinds) {
--- a/internal/dispatch/endpointlist_test.go
+++ b/internal/dispatch/endpointlist_test.go
@@ -114,3 +114,24 @@
 		t.Errorf("%d messages sent when the list is current again, want 1", len(sends))
 	}
 }
+
+// Guards against state that grows with every new destination that a client names: one that no list has ever named is
+// forgotten once no message waits for it, and one that has been on the list stays.
+func TestUnlistedDestinationsAreForgotten(t *testing.T) {
+	h := newHarness(t, testSettings())
+	listed := len(h.dispatcher.destinations)
+	for dest := range DestinationID(1000) {
+		m := h.newMessage(0, 1000+dest, 0)
+		m.Deadline = h.now + 5*ms
+		h.step(m)
+		h.now += 10 * ms
+		h.step(TimerFired{})
+	}
+	if n := len(h.dispatcher.destinations); n != listed || len(h.dispatcher.destinationOrder) != listed {
+		t.Errorf("%d destinations are kept, %d of them were on the list", n, listed)
+	}
+	h.step(EndpointListUpdate{Full: true}) // nothing is on the list any more
+	if n := len(h.dispatcher.destinations); n != listed {
+		t.Errorf("%d destinations are kept that were on the list, want %d", n, listed)
+	}
+}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -19,6 +19,8 @@
 
 // destination is a receiver with its endpoints and the messages that wait for it.
 type destination struct {
+	id        DestinationID
+	isListed  bool // an endpoint of it has been on the list
 	endpoints []*endpoint
 	shared    *route // nil if each endpoint is a route of its own
 	waiting   []*message
