--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,6 +20,8 @@
 	clockReserve = 256
 	// recordReserve is the maximum size in bytes of a record of the endpoint list or of outages without its items.
 	recordReserve = 128
+	// maxEndedInOrder is how many messages that have ended are kept in memory at least before they are dropped together.
+	maxEndedInOrder = 256
 	// acceptReserveDivisor limits what Accept uses: it leaves 1/acceptReserveDivisor of the budget free for the later
 	// records of accepted messages. With less free space, every further record would require a compaction.
 	acceptReserveDivisor = 10
@@ -43,7 +45,7 @@
 	compactedAt time.Time    // time of the last attempt to compact the file
 
 	byID         map[string]*Message
-	order        []*Message // in order of acceptance; a compaction drops the messages that are no longer in byID
+	order        []*Message // in order of acceptance, with some that are no longer in byID
 	messageBytes int64      // sum of reservedBytes of the messages in byID
 	ended        endedIDs
 	endpointList endpointListStore
@@ -204,12 +206,17 @@
 	j.messageBytes += m.reservedBytes
 }
 
-// remove removes a message from the state in memory. The next compaction drops it from order.
+// remove removes a message from the state in memory. It stays in order until enough others are no longer needed there,
+// or until the next compaction.
 func (j *Journal) remove(m *Message) {
-	if j.byID[m.ID] == m {
-		delete(j.byID, m.ID)
-		j.messageBytes -= m.reservedBytes
-		m.Body = nil
+	if j.byID[m.ID] != m {
+		return
+	}
+	delete(j.byID, m.ID)
+	j.messageBytes -= m.reservedBytes
+	m.Body = nil
+	if len(j.order) > 2*len(j.byID)+maxEndedInOrder {
+		j.order = j.liveMessages()
 	}
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 )
 
@@ -133,3 +134,21 @@
 		t.Errorf("%d messages are restored, want 2; message a is %+v", len(again.byID), m)
 	}
 }
+
+// Guards against messages that have ended and stay in memory until the next compaction: with a large budget, that is
+// many.
+func TestEndedMessagesAreDroppedFromMemory(t *testing.T) {
+	t.Parallel()
+	j := openJournal(t, t.TempDir(), 64<<20)
+	kept := acceptRecord(t, j, Record{ID: "kept", Class: "safe"})
+	for i := range 5000 {
+		m := acceptRecord(t, j, Record{ID: strconv.Itoa(i), Class: "safe"})
+		j.AppendMessageEnded(m, OutcomeDelivered, 0)
+		if most := 2*2 + maxEndedInOrder + 1; len(j.Messages()) > most {
+			t.Fatalf("%d messages are kept for one that has not ended", len(j.Messages()))
+		}
+	}
+	if j.Messages()[0] != kept {
+		t.Error("the message that has not ended is not kept")
+	}
+}
