Keep the ids of messages that may have run for 5 s, however many end

What callers saw: a message ran twice when its id came again some seconds after its end.

Cause: the ids of ended messages were dropped by their number and size, after some 2,200 messages with 3 MB of disk, however short a time ago these had ended.

Change: ids are dropped by age. Ids of messages that never ran have a space of their own.

TestFilesStayWithinTheBudget lets ids grow old between its messages.

--- a/internal/journal/compact.go
+++ b/internal/journal/compact.go
@@ -74,11 +74,9 @@
 		if r := j.outages.record(); r != nil && !yield(r) {
 			return
 		}
-		for _, generation := range []idGeneration{j.ended.previous, j.ended.current} {
-			for id, endedAt := range generation.endedAt {
-				if !yield(endedIDRecord(id, endedAt)) {
-					return
-				}
+		for _, ended := range j.ended.all() {
+			if !yield(endedIDRecord(ended.id, ended.endedAt)) {
+				return
 			}
 		}
 		for _, m := range messages {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,7 +20,7 @@
 	clockReserve = 256
 	// recordReserve is the maximum size in bytes of a record of the endpoint list or of outages without its items.
 	recordReserve = 128
-	// maxEndedInOrder is how many messages that have ended are kept in memory at least before they are dropped together.
+	// maxEndedInOrder is how many messages that have ended are kept in memory before they are dropped together.
 	maxEndedInOrder = 256
 	// acceptReserveDivisor limits what Accept uses: it leaves 1/acceptReserveDivisor of the budget free for the later
 	// records of accepted messages. With less free space, every further record would require a compaction.
@@ -76,7 +76,7 @@
 }
 
 // makeSpace compacts the file if the last write failed or if a new message does not fit otherwise. It returns ErrFull
-// if the message does not fit after a compaction either.
+// if the message does not fit after a compaction either, or if there is no space for its id once it has ended.
 func (j *Journal) makeSpace(m *Message) error {
 	// The message needs its bytes twice: in the current file and in the file that the next compaction writes.
 	fitsWithFileSize := func(size int64) bool {
@@ -86,7 +86,7 @@
 	if !fitsNow && !fitsWithFileSize(j.liveBytes()) {
 		return ErrFull
 	}
-	if j.isRetryTooEarly() {
+	if j.isRetryTooEarly() || !j.ended.hasSpace(len(j.byID)+1, j.clock.Now()) {
 		return ErrFull
 	}
 	if j.failed || !fitsNow {
@@ -226,7 +226,8 @@
 func (j *Journal) finish(m *Message, final *Record) {
 	j.remove(m)
 	if final.Outcome != OutcomeAnswered && m.PendingOutcome != OutcomeReturned {
-		j.ended.add(m.ID, final.EndedAt)
+		_, mayHaveRun := m.FirstPossibleRun()
+		j.ended.add(m.ID, final.EndedAt, mayHaveRun || final.Outcome == OutcomeDelivered)
 	}
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -49,6 +49,7 @@
 		if i%3 == 0 && len(accepted) > 0 {
 			j.AppendMessageEnded(accepted[0], OutcomeDelivered, 0)
 			accepted = accepted[1:]
+			j.ended.age(minEndedIDRetention) // otherwise there would soon be no space for further ids
 		}
 	}
 	if rejected == 0 || len(accepted) == 0 || rejected == messages {
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -29,7 +29,7 @@
 		byID:         map[string]*Message{},
 		endpointList: endpointListStore{maxSize: budget / endpointListBudgetDivisor},
 		outages:      outageStore{maxSize: budget / outagesBudgetDivisor},
-		ended:        endedIDs{maxGenerationSize: budget / endedIDsBudgetDivisor},
+		ended:        newEndedIDs(budget),
 	}
 	if err := j.replayFile(); err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -88,8 +88,8 @@
 	case KindOutagesDelta:
 		j.outages.apply(r.Outages)
 	case KindEndedID:
-		if age := j.clock.Now() - r.EndedAt; age < 2*endedIDGenerationPeriod {
-			j.ended.add(r.ID, r.EndedAt)
+		if age := j.clock.Now() - r.EndedAt; age < endedIDRetention {
+			j.ended.add(r.ID, r.EndedAt, true)
 		}
 	case KindMessageAccepted:
 		j.ended.remove(r.ID) // The earlier process had dropped the id of the ended message when it was submitted again.
