Take no message on whose client has closed its connection

What callers saw: a client closed its connection with much still unread, and its messages were sent afterwards; it does not learn of that and hands them in again.

Cause: nobody looked whether the client was still there. Requests that had arrived were submitted until a response failed to be written.

Change: the loop looks at the connection just before it takes a message on, and a predecessor before it forwards one. If the client has closed it, or has more than 32 KiB unread behind the request, so that a close may wait behind them, the message is refused with 503.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -17,6 +17,9 @@
 	// client has sent more than was read. A reset at that point could destroy the response before the client reads it.
 	lingerTimeout  = 200 * time.Millisecond
 	maxLingerBytes = 256 << 10
+	// maxSentAhead is how many bytes a client may have sent behind its request. It is below what the system buffers, so
+	// that the end of the connection is known as long as there are no more.
+	maxSentAhead = 32 << 10
 	// finishTimeout is how long a request that has begun when its connection is closed gracefully may still take to
 	// arrive.
 	finishTimeout = 800 * time.Millisecond
@@ -221,6 +224,12 @@
 	}
 }
 
+// mayHaveLeft reports whether the client has closed its connection, or has sent so much ahead that the close may wait
+// behind what the system does not take in.
+func (c *clientConn) mayHaveLeft() bool {
+	return netconn.HasPeerLeft(c) || netconn.UnreadBytes(c) >= maxSentAhead
+}
+
 // CloseWrite shuts down the sending side. net/http calls it when it has answered before it has read the whole request,
 // and then waits a moment before it closes the connection.
 func (c *clientConn) CloseWrite() error {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -36,8 +36,14 @@
 	ClassIndex  int           // the index of the class in the settings
 	TenantIndex int           // the index of the tenant in the settings, -1 for none
 	Responses   chan Response // buffered: the event loop never waits for a client
+	// HasClientLeft reports whether the client has closed its connection. It may be nil, which stands for no.
+	HasClientLeft func() bool
 }
 
+// IsAbandoned reports whether the client has closed its connection, so that it cannot learn that its message is
+// accepted.
+func (s *Submission) IsAbandoned() bool { return s.HasClientLeft != nil && s.HasClientLeft() }
+
 // requestError is the reason why a request is invalid.
 type requestError struct {
 	status int // the status of the response
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -303,6 +303,7 @@
 	}
 	if c := connectionOf(r); c != nil {
 		s.connections.requestRead(c)
+		submission.HasClientLeft = c.mayHaveLeft
 	}
 	// Once submitted, the message may be accepted, so the handler waits for the response even if the client
 	// disconnects. The request's context cannot be used for submitting, because it also ends when its connection is
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -99,6 +99,16 @@
 	return count == 0 && (err == nil || errors.Is(err, syscall.ECONNRESET))
 }
 
+// UnreadBytes returns how many bytes have arrived on a connection without having been read, 0 if the system does not
+// tell.
+func UnreadBytes(c net.Conn) (count int) {
+	_ = WithDescriptor(c, func(fd int) (err error) { // count stays 0 after an error
+		count, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
+		return err
+	})
+	return count
+}
+
 // ErrNotAwaited is returned by AwaitReadable for a connection whose descriptor it cannot use.
 var ErrNotAwaited = errors.New("the connection does not tell how much has arrived")
 
--- a/internal/sender/forwarding.go
+++ b/internal/sender/forwarding.go
@@ -23,6 +23,10 @@
 		s.declineSubmission(sub, "shutting down")
 		return
 	}
+	if sub.IsAbandoned() {
+		s.declineSubmission(sub, "the client has left")
+		return
+	}
 	s.upgrade.forward(sub)
 }
 
--- a/internal/sender/submission.go
+++ b/internal/sender/submission.go
@@ -18,6 +18,10 @@
 		s.joinKnownMessage(sub)
 		return nil
 	}
+	if sub.IsAbandoned() { // the client does not hear that it is accepted, and may hand it in again
+		s.rejectSubmission(sub, "the client has left")
+		return nil
+	}
 	if s.dispatchStopped {
 		s.rejectSubmission(sub, "shutting down")
 		return nil
