--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -112,6 +112,10 @@
 // ErrNotAwaited is returned by AwaitReadable for a connection whose descriptor it cannot use.
 var ErrNotAwaited = errors.New("the connection does not tell how much has arrived")
 
+// maxEarlyWakes is how often AwaitReadable is woken although too little has arrived before it gives up waiting for
+// more: a system that heeds the low water mark wakes it for what had arrived before the mark was set, and then once.
+const maxEarlyWakes = 3
+
 // AwaitReadable waits until count bytes can be read from a connection, or as many as the system buffers, or until the
 // connection or its read deadline ends. It returns ErrNotAwaited if the system does not offer that.
 func AwaitReadable(c net.Conn, count int) error {
@@ -123,7 +127,11 @@
 	if err != nil {
 		return err
 	}
-	return raw.Read(isReadable)
+	wakes := -1 // the first call comes before the wait
+	return raw.Read(func(fd uintptr) (done bool) {
+		wakes++
+		return isReadable(fd) || wakes > maxEarlyWakes
+	})
 }
 
 // setLowWaterMark sets how many bytes have to arrive on a connection until it counts as readable.
