Bound the number of fields in the heads of endpoints' answers

Change: a head has at most 100 lines; one with more is an answer that cannot be read. Bodies that mean nothing are skipped. The head of an answer with the endpoint list is bounded to 16 KiB.

Measured: two new cases of TestResponsesBecomeOutcomes fail without the change (the answer is taken for a rejection).

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -29,6 +29,8 @@
 	dialTimeout = 1 * time.Second // limit for opening a connection to the platform
 	// maxDiscardedBytes bounds how much of a body is read only to make its connection reusable.
 	maxDiscardedBytes = 64 << 10
+	// maxResponseHead is the maximum size of the head of a response with a list, in bytes.
+	maxResponseHead = 16 << 10
 )
 
 // Reasons by which calls to the platform are counted, with metrics.ReasonDiscovery.
@@ -125,6 +127,8 @@
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   2,
 			ResponseHeaderTimeout: polledLongPoll + changeEffectiveAfter,
+
+			MaxResponseHeaderBytes: maxResponseHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/endpoint/call_test.go
+++ b/internal/endpoint/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -91,6 +92,24 @@
 				}
 			}
 		}, dispatch.AttemptResult{Outcome: dispatch.ConnectionBroken}},
+		// Such a head would take some hundred bytes of memory for each field.
+		"head of many short fields": {func(_ st.Call, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"+
+				strings.Repeat("a:\n", 2*maxHeadLines)+"\r\n")
+			return true
+		}, dispatch.AttemptResult{Outcome: dispatch.ConnectionBroken}},
+		"many short fields after an interim response": {func(_ st.Call, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"+
+				strings.Repeat("a:\n", 2*maxHeadLines)+"\r\n")
+			return true
+		}, dispatch.AttemptResult{Outcome: dispatch.ConnectionBroken}},
+		"body of many short lines": {func(_ st.Call, c net.Conn) bool {
+			body := strings.Repeat("\n", 2*maxHeadLines)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			return true
+		}, dispatch.AttemptResult{Outcome: dispatch.Rejected}},
 		"another protocol": {func(_ st.Call, c net.Conn) bool {
 			_, _ = io.WriteString(c, "HTTP/2.0 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 			return true
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -20,6 +20,9 @@
 	// maxResponse is the maximum size of a response, head and body, in bytes: an endpoint may send invalid data without
 	// end.
 	maxResponse = MaxBody + 64<<10
+	// maxHeadLines is the maximum number of lines of a response's head. A field takes far more memory once it is parsed
+	// than the few bytes in which it may arrive.
+	maxHeadLines = 100
 	// deliveredPrefix is the beginning of a response that confirms the delivery of the message, whatever happens to the
 	// rest of the response.
 	deliveredPrefix = "HTTP/1.1 200"
@@ -59,6 +62,7 @@
 	// The state of the current call.
 	callBytes      int         // the length of the call
 	remainingBytes int         // how many bytes of the response may still be read
+	head           headCounter // counts the lines of the response's head
 	firstBytes     []byte      // the first bytes of the response
 	firstLineAt    time.Time   // when enough had been read to know whether the message is delivered
 	detachContext  func() bool // detaches the call's context; false if the context has already interrupted the call
@@ -102,7 +106,7 @@
 func (c *conn) expectResponse(callBytes int) {
 	c.calls++
 	c.callBytes = callBytes
-	c.firstBytes, c.remainingBytes = c.firstBytes[:0], maxResponse
+	c.firstBytes, c.remainingBytes, c.head = c.firstBytes[:0], maxResponse, headCounter{}
 }
 
 // Read reads from the connection, up to the maximum size of a response.
@@ -121,6 +125,9 @@
 		c.firstLineAt = time.Now()
 		c.limitTail()
 	}
+	if !c.head.count(b[:n]) {
+		return 0, errResponseTooLong
+	}
 	return n, err
 }
 
@@ -163,3 +170,28 @@
 	}
 	return c.isUnreceived() || netconn.ReceivedBeforeSent(c.Conn)
 }
+
+// headCounter counts the lines of a response's head while it is read.
+type headCounter struct {
+	lines      int
+	lineLength int // bytes of the current line so far
+	isComplete bool
+}
+
+// count counts the lines in further bytes of a response, up to the end of its head. It returns false if there are more
+// than maxHeadLines.
+func (h *headCounter) count(read []byte) bool {
+	for _, b := range read {
+		switch {
+		case h.isComplete:
+			return true
+		case b != '\n' && b != '\r':
+			h.lineLength++
+		case b == '\n':
+			h.lines++
+			h.isComplete = h.lineLength == 0
+			h.lineLength = 0
+		}
+	}
+	return h.lines <= maxHeadLines
+}
--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -124,7 +123,7 @@
 		c.drop(p.metrics, DroppedStale)
 		return exchange{conn: c, outcome: unreadOutcome(ctx)}
 	}
-	response, err := readHead(c.reader) //nolint:bodyclose // the callers read its body with readBody
+	response, err := readHead(c) //nolint:bodyclose // the callers read its body with readBody or skipBody
 	if err == nil {
 		return exchange{response: response, conn: c}
 	}
@@ -167,9 +166,9 @@
 }
 
 // readHead reads the head of a response and skips interim (1xx) responses.
-func readHead(r *bufio.Reader) (*http.Response, error) {
+func readHead(c *conn) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(r, &http.Request{Method: http.MethodPost})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 		switch {
 		case err != nil:
 			return nil, err
@@ -178,17 +177,30 @@
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
+		c.head.isComplete = false // the next head follows
 	}
 }
 
 // readBody reads a response's body, and keeps the connection if it can be used again.
 func (p *Pool) readBody(e *Endpoint, c *conn, response *http.Response) (body []byte, isComplete bool) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxBody+1))
-	isComplete = err == nil && len(body) <= MaxBody
+	return body, p.endResponse(e, c, response, int64(len(body)), err)
+}
+
+// skipBody is like readBody for a response whose body means nothing, and does not hold it.
+func (p *Pool) skipBody(e *Endpoint, c *conn, response *http.Response) (isComplete bool) {
+	length, err := io.Copy(io.Discard, io.LimitReader(response.Body, MaxBody+1))
+	return p.endResponse(e, c, response, length, err)
+}
+
+// endResponse keeps the connection of a response whose body has been read, if it can be used again, and reports whether
+// the response is complete.
+func (p *Pool) endResponse(e *Endpoint, c *conn, response *http.Response, length int64, err error) (isComplete bool) {
+	isComplete = err == nil && length <= MaxBody
 	if !isComplete || response.Close || c.reader.Buffered() > 0 || !c.detachContext() {
 		c.drop(p.metrics, DroppedIncomplete)
 	} else {
 		p.put(e, c)
 	}
-	return body, isComplete
+	return isComplete
 }
--- a/internal/endpoint/single.go
+++ b/internal/endpoint/single.go
@@ -41,7 +41,7 @@
 	result.ConnectionIdle = x.connectionIdle()
 	// A status line of 200 is valid whatever follows, if it arrives in time. Any other response counts only if it is
 	// complete: half a response does not prove that the call never ran.
-	_, isComplete := p.readBody(e, x.conn, x.response)
+	isComplete := p.skipBody(e, x.conn, x.response)
 	if !retryAt.IsZero() {
 		result.RetryAfter = max(0, time.Until(retryAt))
 	}
