--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -4,8 +4,11 @@
 // the event loop as a Submission, and the request's handler waits for the loop's Response. The event loop
 // (internal/sender) starts the server and stops it in three steps: Drain, Finish, Close.
 //
-// Anyone may connect. A peer that sends nothing or stops in the middle of its request may be evicted to free a slot for
-// another connection, or a descriptor if the process has none left. Such a peer is closed within 3 s of its connection
-// in any case, and its time in the listener's queue counts. A request that was read completely always gets its
-// response, even if its connection is evicted or the process stops.
+// Anyone may connect, so what peers can make the process hold is bounded: slots limit the connections (slots.go), a
+// budget the memory of requests that are not answered yet (memory.go), and heads are parsed only when they are complete
+// and not too long (requesthead.go). Where a slot or memory is needed, connections are evicted (eviction.go): among
+// others those of peers that send nothing, stop in the middle of a request, do not read their responses or send too
+// fast (pacer.go). A peer that sends no complete request is closed within 3 s of its connection in any case, and its
+// time in the listener's queue counts. A request that was read completely always gets its response, even if its
+// connection is evicted or the process stops.
 package ingress
