--- a/internal/dispatch/endpointlist.go
+++ b/internal/dispatch/endpointlist.go
@@ -93,8 +93,8 @@
 	return dest
 }
 
-// forgetUnlisted removes a destination for which no message waits and of which no endpoint has ever been on the list.
-// Clients may name any number of such destinations.
+// forgetUnlisted removes a destination for which no message waits and of which no endpoint has ever been on
+// the list. Clients may name any number of such destinations.
 func (d *Dispatcher) forgetUnlisted(dest *destination) {
 	if dest.isListed || len(dest.waiting) > 0 || d.destinations[dest.id] != dest {
 		return
